--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/Endpoint.java
@@ -0,0 +1,45 @@
+package org.dandelionbeam.routing;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * IP address and port of a process.
+ *
+ * @param host IP address in digits
+ * @param port port, 1 to 65535
+ */
+public record Endpoint(String host, int port) {
+  private static final int MAX_PORT = 65_535;
+
+  /**
+   * Checks the values.
+   *
+   * @throws IllegalArgumentException if the host is blank or the port out of range
+   */
+  public Endpoint {
+    requireNonNull(host, "host");
+    if (host.isBlank() || port < 1 || port > MAX_PORT) {
+      throw new IllegalArgumentException("not an address: " + host + ":" + port);
+    }
+  }
+
+  /**
+   * Reads an address.
+   *
+   * @param text host and port with a colon between
+   * @return the address
+   * @throws IllegalArgumentException if the text has another form
+   */
+  public static Endpoint of(String text) {
+    int colon = requireNonNull(text, "text").lastIndexOf(':');
+    if (colon < 1) {
+      throw new IllegalArgumentException("not an address: " + text);
+    }
+    return new Endpoint(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/FleetState.java
@@ -0,0 +1,171 @@
+package org.dandelionbeam.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** What a router believes about its fleet; one thread owns it. */
+public final class FleetState {
+  private final UpstreamDirectory upstreams = UpstreamDirectory.create();
+  private final UpstreamHealth health = UpstreamHealth.create();
+  private final LoadBoard loads = LoadBoard.create();
+  private final TeamUsage usage = TeamUsage.create();
+  private final PromptCache cache = PromptCache.create();
+  private final Map<ServiceName, ReadRate> rates = new HashMap<>();
+  private final ColdPace coldPace;
+  private final RetryAllowance retries;
+  private final FleetMembers members;
+  private RoutingTable table;
+  private long nowNanos;
+
+  private FleetState(FleetLimits limits, FleetMembers members) {
+    coldPace = ColdPace.of(limits);
+    retries = RetryAllowance.of(limits);
+    this.members = requireNonNull(members, "members");
+  }
+
+  /**
+   * Returns the state of a router that knows nothing yet.
+   *
+   * @param limits limits over all routers
+   * @param members the routers of the fleet
+   * @return the state
+   */
+  public static FleetState of(FleetLimits limits, FleetMembers members) {
+    return new FleetState(limits, members);
+  }
+
+  /**
+   * Takes a configuration if it is newer than the one in force.
+   *
+   * @param newer the configuration
+   * @return false if the one in force is as new
+   */
+  public boolean accept(RoutingTable newer) {
+    if (table != null && newer.version() <= table.version()) {
+      return false;
+    }
+    table = newer;
+    return true;
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the table, empty before any is known
+   */
+  public Optional<RoutingTable> table() {
+    return Optional.ofNullable(table);
+  }
+
+  /**
+   * Returns the upstreams.
+   *
+   * @return the directory
+   */
+  public UpstreamDirectory upstreams() {
+    return upstreams;
+  }
+
+  /**
+   * Returns how the upstreams treated requests.
+   *
+   * @return the record
+   */
+  public UpstreamHealth health() {
+    return health;
+  }
+
+  /**
+   * Returns the work in flight.
+   *
+   * @return the board
+   */
+  public LoadBoard loads() {
+    return loads;
+  }
+
+  /**
+   * Returns the service that teams got.
+   *
+   * @return the record
+   */
+  public TeamUsage usage() {
+    return usage;
+  }
+
+  /**
+   * Returns which engines hold which prompts.
+   *
+   * @return the memory
+   */
+  public PromptCache cache() {
+    return cache;
+  }
+
+  /**
+   * Returns the part of the cold limits.
+   *
+   * @return the pace
+   */
+  public ColdPace coldPace() {
+    return coldPace;
+  }
+
+  /**
+   * Returns the part of the retry limits.
+   *
+   * @return the allowance
+   */
+  public RetryAllowance retries() {
+    return retries;
+  }
+
+  /**
+   * Returns the routers of the fleet.
+   *
+   * @return the members
+   */
+  public FleetMembers members() {
+    return members;
+  }
+
+  /**
+   * Returns how fast the engines of a service read.
+   *
+   * @param service the service
+   * @return the learned rate
+   */
+  public ReadRate readRate(ServiceName service) {
+    return rates.computeIfAbsent(service, key -> ReadRate.create());
+  }
+
+  /**
+   * Returns how many routers share the limits.
+   *
+   * @return 1 or more
+   */
+  public int routerCount() {
+    return members.sharers(nowNanos);
+  }
+
+  /**
+   * Moves the time on.
+   *
+   * @param newNowNanos monotonic time
+   */
+  public void at(long newNowNanos) {
+    nowNanos = newNowNanos;
+  }
+
+  /**
+   * Returns the time of the event that is handled.
+   *
+   * @return monotonic time
+   */
+  public long nowNanos() {
+    return nowNanos;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/LoadBoard.java
@@ -0,0 +1,107 @@
+package org.dandelionbeam.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What this router has in flight at each upstream, and what its peers said they have.
+ *
+ * <p>Upstreams are named by a hash of their key, so that reports stay small. Not thread-safe.
+ */
+public final class LoadBoard {
+  /** A peer that was silent for so many reports is frozen or cut off, and its requests end soon. */
+  private static final Duration PEER_REPORT_LIFETIME = Duration.ofMillis(700);
+
+  private final Map<Integer, UpstreamLoad> own = new HashMap<>();
+  private final Map<RouterName, Report> peers = new HashMap<>();
+
+  private LoadBoard() {}
+
+  /**
+   * Returns an empty board.
+   *
+   * @return the board
+   */
+  public static LoadBoard create() {
+    return new LoadBoard();
+  }
+
+  /**
+   * Returns the number by which routers name an upstream to each other.
+   *
+   * @param instance the upstream
+   * @return a hash of its id and incarnation
+   */
+  public static int numberOf(UpstreamInstance instance) {
+    return instance.key().hashCode();
+  }
+
+  /**
+   * Adds own work to an upstream.
+   *
+   * @param upstream number of the upstream
+   * @param work the work
+   */
+  public void add(int upstream, UpstreamLoad work) {
+    own.merge(upstream, work, UpstreamLoad::plus);
+  }
+
+  /**
+   * Takes own work from an upstream.
+   *
+   * @param upstream number of the upstream
+   * @param work the work that is done
+   */
+  public void subtract(int upstream, UpstreamLoad work) {
+    UpstreamLoad negative =
+        new UpstreamLoad(-work.inFlight(), -work.unreadTokens(), -work.memoryTokens());
+    UpstreamLoad left = own.getOrDefault(upstream, UpstreamLoad.NONE).plus(negative);
+    if (left.equals(UpstreamLoad.NONE)) {
+      own.remove(upstream);
+    } else {
+      own.put(upstream, left);
+    }
+  }
+
+  /**
+   * Takes the report of a peer.
+   *
+   * @param peer the peer
+   * @param loads its work by upstream
+   * @param nowNanos monotonic time
+   */
+  public void heard(RouterName peer, Map<Integer, UpstreamLoad> loads, long nowNanos) {
+    peers.put(requireNonNull(peer, "peer"), new Report(Map.copyOf(loads), nowNanos));
+  }
+
+  /**
+   * Returns the work of all routers at an upstream.
+   *
+   * @param upstream number of the upstream
+   * @param nowNanos monotonic time
+   * @return own work and that of the peers heard lately
+   */
+  public UpstreamLoad total(int upstream, long nowNanos) {
+    UpstreamLoad sum = own.getOrDefault(upstream, UpstreamLoad.NONE);
+    for (Report report : peers.values()) {
+      if (nowNanos - report.atNanos < PEER_REPORT_LIFETIME.toNanos()) {
+        sum = sum.plus(report.loads.getOrDefault(upstream, UpstreamLoad.NONE));
+      }
+    }
+    return sum;
+  }
+
+  /**
+   * Returns this router's own work, to report it.
+   *
+   * @return work by upstream, without idle ones
+   */
+  public Map<Integer, UpstreamLoad> own() {
+    return Map.copyOf(own);
+  }
+
+  private record Report(Map<Integer, UpstreamLoad> loads, long atNanos) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -0,0 +1,188 @@
+package org.dandelionbeam.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.dandelionbeam.base.FailureDomain;
+
+/**
+ * Chooses the upstream of a request.
+ *
+ * <p>Of a model's engines it takes the one with the fewest tokens to read before the first output,
+ * counting parts of the prompt that must be read again; of a plain service's upstreams the one with
+ * the fewest requests. Not thread-safe.
+ */
+final class Placement {
+  /** Reading a shared part again also costs the memory of a second copy. */
+  private static final double REREAD_FACTOR = 1.3;
+
+  /** Tokens that the bytes of a request between failure domains are worth. */
+  private static final long OTHER_DOMAIN_TOKENS = 200;
+
+  /** Tokens by which an engine that fails all its requests is put behind. */
+  private static final long ERROR_TOKENS = 40_000;
+
+  /** Requests by which an upstream that fails all its requests is put behind. */
+  private static final double ERROR_REQUESTS = 8;
+
+  /** Requests in flight that the way through another failure domain is worth. */
+  private static final double OTHER_DOMAIN_REQUESTS = 0.3;
+
+  /** Part of an engine's memory that running requests may fill beside cached parts. */
+  private static final double MEMORY_SHARE = 0.55;
+
+  /** Part of the objective that the wait for the first output may take. */
+  private static final double OBJECTIVE_SHARE = 0.8;
+
+  /** Part of the objective that a backlog may last for requests that can't meet it anyway. */
+  private static final double LATE_SHARE = 0.35;
+
+  private final FleetState fleet;
+  private final FailureDomain here;
+
+  Placement(FleetState fleet, FailureDomain here) {
+    this.fleet = requireNonNull(fleet, "fleet");
+    this.here = requireNonNull(here, "here");
+  }
+
+  /**
+   * Returns the upstreams that may get the request: those that are not avoided, or all that did not
+   * have the request yet if every one is avoided.
+   */
+  List<UpstreamInstance> candidates(Ticket ticket, long nowNanos) {
+    List<UpstreamInstance> untried = new ArrayList<>();
+    List<UpstreamInstance> sound = new ArrayList<>();
+    for (UpstreamInstance instance : fleet.upstreams().usable(ticket.service())) {
+      if (!ticket.isExcluded(instance.id())) {
+        untried.add(instance);
+        if (!fleet.health().isAvoided(instance.id(), nowNanos)) {
+          sound.add(instance);
+        }
+      }
+    }
+    return sound.isEmpty() ? untried : sound;
+  }
+
+  /** Returns the upstream that should get the request now, empty if none has room. */
+  Optional<Decision.Granted> choose(Ticket ticket, ServiceSpec spec, long nowNanos) {
+    List<UpstreamInstance> open = candidates(ticket, nowNanos);
+    Choice best = null;
+    int home = homeOf(ticket, spec);
+    for (UpstreamInstance instance : open) {
+      Choice choice = evaluate(ticket, spec, instance, home, nowNanos);
+      if (choice.hasRoom && (best == null || choice.cost < best.cost)) {
+        best = choice;
+      }
+    }
+    return Optional.ofNullable(best).map(choice -> choice.granted(ticket));
+  }
+
+  private int homeOf(Ticket ticket, ServiceSpec spec) {
+    if (spec.engine().isEmpty() || !ticket.shape().isModelRequest()) {
+      return 0;
+    }
+    List<Integer> numbers = new ArrayList<>();
+    for (UpstreamInstance instance : fleet.upstreams().usable(ticket.service())) {
+      numbers.add(LoadBoard.numberOf(instance));
+    }
+    return PromptCache.home(ticket.shape(), numbers);
+  }
+
+  private Choice evaluate(
+      Ticket ticket, ServiceSpec spec, UpstreamInstance instance, int home, long nowNanos) {
+    boolean cold = fleet.upstreams().isCold(instance.id(), nowNanos);
+    boolean coldRoom =
+        !cold
+            || spec.coldRequestsPerSecond() <= 0
+            || fleet
+                .coldPace()
+                .allows(instance.id(), spec.coldRequestsPerSecond(), fleet.routerCount(), nowNanos);
+    int number = LoadBoard.numberOf(instance);
+    UpstreamLoad load = fleet.loads().total(number, nowNanos);
+    Choice choice =
+        spec.engine().isPresent() && ticket.shape().isModelRequest()
+            ? engineChoice(ticket, spec.engine().get(), instance, load, number == home)
+            : plainChoice(instance, load);
+    choice.hasRoom &= coldRoom;
+    if (!instance.domain().equals(here)) {
+      choice.cost += choice.otherDomainCost;
+    }
+    return choice;
+  }
+
+  private Choice plainChoice(UpstreamInstance instance, UpstreamLoad load) {
+    Choice choice = new Choice(instance, new UpstreamLoad(1, 0, 0), 0);
+    choice.cost = load.inFlight() + ERROR_REQUESTS * fleet.health().errorRate(instance.id());
+    choice.otherDomainCost = OTHER_DOMAIN_REQUESTS;
+    choice.hasRoom = load.inFlight() < Math.max(1, instance.slots());
+    return choice;
+  }
+
+  private Choice engineChoice(
+      Ticket ticket,
+      ServiceSpec.EngineSpec engine,
+      UpstreamInstance instance,
+      UpstreamLoad load,
+      boolean home) {
+    PromptShape shape = ticket.shape();
+    int number = LoadBoard.numberOf(instance);
+    long held = Math.min(fleet.cache().heldTokens(shape, number, home), shape.promptTokens());
+    long unread = shape.promptTokens() - held;
+    long shared = sharedTokens(shape);
+    long reread = Math.max(0, shared - held);
+    long memory = shape.promptTokens() - Math.min(held, shared) + shape.outputTokens();
+    Choice choice = new Choice(instance, new UpstreamLoad(1, unread, memory), load.unreadTokens());
+    choice.cost =
+        load.unreadTokens()
+            + unread
+            + (REREAD_FACTOR - 1) * reread
+            + ERROR_TOKENS * fleet.health().errorRate(instance.id());
+    choice.otherDomainCost = OTHER_DOMAIN_TOKENS;
+    choice.hasRoom =
+        load.inFlight() < Math.max(1, engine.slots())
+            && (load.inFlight() == 0
+                || load.memoryTokens() + memory < MEMORY_SHARE * engine.memoryTokens())
+            && fleet.readRate(ticket.service()).nanosFor(load.unreadTokens())
+                <= allowedWaitNanos(ticket, unread);
+    return choice;
+  }
+
+  /** The last part belongs to the request itself or its session; those before it are shared. */
+  private static long sharedTokens(PromptShape shape) {
+    long sum = 0;
+    for (int i = 0; i + 1 < shape.parts().size(); i++) {
+      sum += shape.parts().get(i).tokens();
+    }
+    return sum;
+  }
+
+  private long allowedWaitNanos(Ticket ticket, long unread) {
+    long objective = ticket.objectiveNanos() - ticket.arrivedNanos();
+    long waited = fleet.nowNanos() - ticket.arrivedNanos();
+    long reading = fleet.readRate(ticket.service()).nanosFor(unread);
+    long left = (long) (OBJECTIVE_SHARE * objective) - waited - reading;
+    return Math.max(left, (long) (LATE_SHARE * objective));
+  }
+
+  /** An upstream with its cost for one request. */
+  private static final class Choice {
+    private final UpstreamInstance instance;
+    private final UpstreamLoad work;
+    private final long aheadTokens;
+    private double cost;
+    private double otherDomainCost;
+    private boolean hasRoom;
+
+    Choice(UpstreamInstance instance, UpstreamLoad work, long aheadTokens) {
+      this.instance = instance;
+      this.work = work;
+      this.aheadTokens = aheadTokens;
+    }
+
+    Decision.Granted granted(Ticket ticket) {
+      return new Decision.Granted(ticket, instance, work, aheadTokens);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptShape.java
@@ -0,0 +1,63 @@
+package org.dandelionbeam.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+
+/**
+ * Size of a model request and the parts of its prompt in order.
+ *
+ * @param promptTokens tokens of the whole prompt
+ * @param outputTokens most tokens that the answer may have
+ * @param parts parts of the prompt from its beginning; requests share the earlier ones
+ */
+public record PromptShape(long promptTokens, long outputTokens, List<Part> parts) {
+
+  /** A request that is no model request. */
+  public static final PromptShape NONE = new PromptShape(0, 0, List.of());
+
+  private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
+
+  /** Copies the parts. */
+  public PromptShape {
+    parts = List.copyOf(requireNonNull(parts, "parts"));
+  }
+
+  /**
+   * One part of a prompt.
+   *
+   * @param hash hash of the part's id and of all parts before it
+   * @param tokens tokens of this part
+   */
+  public record Part(long hash, long tokens) {}
+
+  /**
+   * Chains the hash of a part to that of the parts before it.
+   *
+   * @param before hash of the parts before, 0 for none
+   * @param id id of the part
+   * @return hash of the chain up to this part
+   */
+  public static long chain(long before, String id) {
+    long mixed = (before ^ requireNonNull(id, "id").hashCode()) * HASH_FACTOR;
+    return mixed ^ (mixed >>> Integer.SIZE);
+  }
+
+  /**
+   * Tells whether this is a model request.
+   *
+   * @return true if it has tokens
+   */
+  public boolean isModelRequest() {
+    return promptTokens > 0;
+  }
+
+  /**
+   * Returns the cost by which teams share the engines.
+   *
+   * @return tokens read, and tokens generated counted twice
+   */
+  public long costTokens() {
+    return promptTokens + 2 * outputTokens;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/RouterName.java
@@ -0,0 +1,43 @@
+package org.dandelionbeam.routing;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Name of a router of the fleet.
+ *
+ * @param text the name, not blank
+ */
+public record RouterName(String text) implements Comparable<RouterName> {
+
+  /**
+   * Checks the name.
+   *
+   * @throws IllegalArgumentException if the name is blank
+   */
+  public RouterName {
+    requireNonNull(text, "text");
+    if (text.isBlank()) {
+      throw new IllegalArgumentException("router name must not be blank");
+    }
+  }
+
+  /**
+   * Returns the id with a name.
+   *
+   * @param text a name that is not blank
+   * @return the id
+   */
+  public static RouterName of(String text) {
+    return new RouterName(text);
+  }
+
+  @Override
+  public int compareTo(RouterName other) {
+    return text.compareTo(other.text);
+  }
+
+  @Override
+  public String toString() {
+    return text;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/RoutingTable.java
@@ -0,0 +1,228 @@
+package org.dandelionbeam.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the operators' configuration, ready to be asked. Immutable. */
+public final class RoutingTable {
+  private final long version;
+  private final Map<String, List<RouteRule>> routesByHost;
+  private final Map<ServiceName, ServiceSpec> services;
+  private final Map<String, TeamName> teamsByKey;
+  private final CallerLimits limits;
+  private final double tokensPerSecond;
+  private final boolean keysRequired;
+
+  private RoutingTable(Builder builder) {
+    version = builder.version;
+    Map<String, List<RouteRule>> byHost = new HashMap<>();
+    for (RouteRule route : builder.routes) {
+      byHost.merge(hostKey(route.host()), List.of(route), RoutingTable::joined);
+    }
+    routesByHost = Map.copyOf(byHost);
+    services = Map.copyOf(builder.services);
+    teamsByKey = Map.copyOf(builder.teamsByKey);
+    limits = builder.limits;
+    tokensPerSecond = builder.tokensPerSecond;
+    keysRequired = builder.keysRequired;
+  }
+
+  private static List<RouteRule> joined(List<RouteRule> left, List<RouteRule> right) {
+    return java.util.stream.Stream.concat(left.stream(), right.stream())
+        .sorted((a, b) -> Integer.compare(b.prefix().length(), a.prefix().length()))
+        .toList();
+  }
+
+  /**
+   * Starts a table.
+   *
+   * @param version version of the configuration
+   * @return a builder
+   */
+  public static Builder builder(long version) {
+    return new Builder(version);
+  }
+
+  /**
+   * Returns the version.
+   *
+   * @return a number that grows with each accepted configuration
+   */
+  public long version() {
+    return version;
+  }
+
+  /**
+   * Finds the route with the longest prefix.
+   *
+   * @param host value of the host header, with or without a port
+   * @param path path of the request, without the query
+   * @return the route, empty if none takes the request
+   */
+  public Optional<RouteRule> match(String host, String path) {
+    for (RouteRule route : routesByHost.getOrDefault(hostKey(host), List.of())) {
+      if (path.startsWith(route.prefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Finds the team that holds a key.
+   *
+   * @param key the caller's key
+   * @return the team, empty if no team holds the key
+   */
+  public Optional<TeamName> teamOf(String key) {
+    return Optional.ofNullable(teamsByKey.get(key));
+  }
+
+  /**
+   * Tells whether callers need a key on routes that are not anonymous.
+   *
+   * @return true if the configuration names teams
+   */
+  public boolean keysRequired() {
+    return keysRequired;
+  }
+
+  /**
+   * Finds a service.
+   *
+   * @param name name of the service
+   * @return what the operators say of it, empty if they don't name it
+   */
+  public Optional<ServiceSpec> service(ServiceName name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /**
+   * Returns all services.
+   *
+   * @return the services in no order
+   */
+  public Collection<ServiceSpec> services() {
+    return services.values();
+  }
+
+  /**
+   * Returns the number of routes.
+   *
+   * @return the count
+   */
+  public int routeCount() {
+    return routesByHost.values().stream().mapToInt(List::size).sum();
+  }
+
+  /**
+   * Returns the bounds of what callers may send.
+   *
+   * @return the limits
+   */
+  public CallerLimits limits() {
+    return limits;
+  }
+
+  /**
+   * Returns the tokens that all engines together read and generate in a second.
+   *
+   * @return the figure, 0 if the operators give none
+   */
+  public double tokensPerSecond() {
+    return tokensPerSecond;
+  }
+
+  private static String hostKey(String host) {
+    int colon = host.lastIndexOf(':');
+    String name = colon < 0 ? host : host.substring(0, colon);
+    return name.toLowerCase(Locale.ROOT);
+  }
+
+  /** Collects the parts of a table. */
+  public static final class Builder {
+    private final long version;
+    private final List<RouteRule> routes = new java.util.ArrayList<>();
+    private final Map<ServiceName, ServiceSpec> services = new HashMap<>();
+    private final Map<String, TeamName> teamsByKey = new HashMap<>();
+    private CallerLimits limits = CallerLimits.DEFAULT;
+    private double tokensPerSecond;
+    private boolean keysRequired;
+
+    private Builder(long version) {
+      this.version = version;
+    }
+
+    /**
+     * Adds a route.
+     *
+     * @param route the route
+     * @return this builder
+     */
+    public Builder route(RouteRule route) {
+      routes.add(requireNonNull(route, "route"));
+      return this;
+    }
+
+    /**
+     * Adds a service.
+     *
+     * @param service the service
+     * @return this builder
+     */
+    public Builder service(ServiceSpec service) {
+      services.put(service.name(), service);
+      return this;
+    }
+
+    /**
+     * Adds a team.
+     *
+     * @param team name of the team
+     * @param keys its keys, possibly none
+     * @return this builder
+     */
+    public Builder team(TeamName team, Collection<String> keys) {
+      keysRequired = true;
+      keys.forEach(key -> teamsByKey.put(key, team));
+      return this;
+    }
+
+    /**
+     * Sets the bounds of what callers may send.
+     *
+     * @param newLimits the limits
+     * @return this builder
+     */
+    public Builder limits(CallerLimits newLimits) {
+      limits = requireNonNull(newLimits, "newLimits");
+      return this;
+    }
+
+    /**
+     * Sets the tokens that all engines together handle in a second.
+     *
+     * @param tokens 0 or more
+     * @return this builder
+     */
+    public Builder tokensPerSecond(double tokens) {
+      tokensPerSecond = tokens;
+      return this;
+    }
+
+    /**
+     * Makes the table.
+     *
+     * @return the table
+     */
+    public RoutingTable build() {
+      return new RoutingTable(this);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/ServiceName.java
@@ -0,0 +1,43 @@
+package org.dandelionbeam.routing;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Name of a service that upstreams belong to.
+ *
+ * @param text the name, not blank
+ */
+public record ServiceName(String text) implements Comparable<ServiceName> {
+
+  /**
+   * Checks the name.
+   *
+   * @throws IllegalArgumentException if the name is blank
+   */
+  public ServiceName {
+    requireNonNull(text, "text");
+    if (text.isBlank()) {
+      throw new IllegalArgumentException("service name must not be blank");
+    }
+  }
+
+  /**
+   * Returns the id with a name.
+   *
+   * @param text a name that is not blank
+   * @return the id
+   */
+  public static ServiceName of(String text) {
+    return new ServiceName(text);
+  }
+
+  @Override
+  public int compareTo(ServiceName other) {
+    return text.compareTo(other.text);
+  }
+
+  @Override
+  public String toString() {
+    return text;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
@@ -0,0 +1,103 @@
+package org.dandelionbeam.routing;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How much service each team got lately, at this router and at its peers.
+ *
+ * <p>Service fades, so that a team's idle time earns no lasting claim. Not thread-safe.
+ */
+public final class TeamUsage {
+  /** Half of the service is forgotten after half the window in which teams are compared. */
+  private static final Duration HALF_LIFE = Duration.ofSeconds(2);
+
+  private static final Duration PEER_REPORT_LIFETIME = Duration.ofSeconds(2);
+
+  private final Map<Integer, Faded> own = new HashMap<>();
+  private final Map<RouterName, Report> peers = new HashMap<>();
+
+  private TeamUsage() {}
+
+  /**
+   * Returns a record without service.
+   *
+   * @return the record
+   */
+  public static TeamUsage create() {
+    return new TeamUsage();
+  }
+
+  /**
+   * Notes service that a team gets here.
+   *
+   * @param team the team
+   * @param cost cost of the request
+   * @param nowNanos monotonic time
+   */
+  public void served(TeamName team, double cost, long nowNanos) {
+    own.merge(
+        numberOf(team), new Faded(cost, nowNanos), (old, add) -> old.plus(add.amount, nowNanos));
+  }
+
+  /**
+   * Takes the report of a peer.
+   *
+   * @param peer the peer
+   * @param service faded service by number of the team
+   * @param nowNanos monotonic time
+   */
+  public void heard(RouterName peer, Map<Integer, Double> service, long nowNanos) {
+    peers.put(peer, new Report(Map.copyOf(service), nowNanos));
+  }
+
+  /**
+   * Returns the service that a team got lately.
+   *
+   * @param team the team
+   * @param nowNanos monotonic time
+   * @return faded cost over all routers heard lately
+   */
+  public double of(TeamName team, long nowNanos) {
+    int number = numberOf(team);
+    Faded here = own.get(number);
+    double sum = here == null ? 0 : here.at(nowNanos);
+    for (Report report : peers.values()) {
+      if (nowNanos - report.atNanos < PEER_REPORT_LIFETIME.toNanos()) {
+        sum += report.service.getOrDefault(number, 0.0);
+      }
+    }
+    return sum;
+  }
+
+  /**
+   * Returns the service given here, to report it.
+   *
+   * @param nowNanos monotonic time
+   * @return faded cost by number of the team
+   */
+  public Map<Integer, Double> own(long nowNanos) {
+    Map<Integer, Double> report = new HashMap<>();
+    own.values().removeIf(faded -> faded.at(nowNanos) < 1);
+    own.forEach((team, faded) -> report.put(team, faded.at(nowNanos)));
+    return report;
+  }
+
+  private static int numberOf(TeamName team) {
+    return team.text().hashCode();
+  }
+
+  private record Report(Map<Integer, Double> service, long atNanos) {}
+
+  /** An amount that halves each half-life. */
+  private record Faded(double amount, long atNanos) {
+    double at(long nowNanos) {
+      return amount * Math.pow(0.5, (nowNanos - atNanos) / (double) HALF_LIFE.toNanos());
+    }
+
+    Faded plus(double more, long nowNanos) {
+      return new Faded(at(nowNanos) + more, nowNanos);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/Ticket.java
@@ -0,0 +1,174 @@
+package org.dandelionbeam.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** A request that wants an upstream. Not thread-safe. */
+public final class Ticket {
+  private final long number;
+  private final ServiceName service;
+  private final TeamName team;
+  private final PromptShape shape;
+  private final long arrivedNanos;
+  private final long objectiveNanos;
+  private final long deadlineNanos;
+  private final Set<InstanceId> excluded = new HashSet<>();
+
+  private Ticket(Builder builder) {
+    number = builder.number;
+    service = requireNonNull(builder.service, "service");
+    team = requireNonNull(builder.team, "team");
+    shape = requireNonNull(builder.shape, "shape");
+    arrivedNanos = builder.arrivedNanos;
+    objectiveNanos = builder.objectiveNanos;
+    deadlineNanos = builder.deadlineNanos;
+  }
+
+  /**
+   * Starts a ticket.
+   *
+   * @param number number that is unique at this router
+   * @return a builder
+   */
+  public static Builder builder(long number) {
+    return new Builder(number);
+  }
+
+  /**
+   * Returns the number.
+   *
+   * @return number that is unique at this router
+   */
+  public long number() {
+    return number;
+  }
+
+  /**
+   * Returns the service.
+   *
+   * @return service that the request goes to
+   */
+  public ServiceName service() {
+    return service;
+  }
+
+  /**
+   * Returns the team.
+   *
+   * @return team that the request belongs to
+   */
+  public TeamName team() {
+    return team;
+  }
+
+  /**
+   * Returns the size of a model request.
+   *
+   * @return the shape, {@link PromptShape#NONE} for a plain service
+   */
+  public PromptShape shape() {
+    return shape;
+  }
+
+  /**
+   * Returns when the request arrived.
+   *
+   * @return monotonic time
+   */
+  public long arrivedNanos() {
+    return arrivedNanos;
+  }
+
+  /**
+   * Returns until when an answer has its full value.
+   *
+   * @return monotonic time
+   */
+  public long objectiveNanos() {
+    return objectiveNanos;
+  }
+
+  /**
+   * Returns until when the caller waits.
+   *
+   * @return monotonic time
+   */
+  public long deadlineNanos() {
+    return deadlineNanos;
+  }
+
+  /**
+   * Excludes an upstream that did not run the request.
+   *
+   * @param id the upstream
+   */
+  public void exclude(InstanceId id) {
+    excluded.add(id);
+  }
+
+  /**
+   * Tells whether an upstream is excluded.
+   *
+   * @param id the upstream
+   * @return true if it had this request already
+   */
+  public boolean isExcluded(InstanceId id) {
+    return excluded.contains(id);
+  }
+
+  /** Collects the values of a ticket. */
+  public static final class Builder {
+    private final long number;
+    private ServiceName service;
+    private TeamName team;
+    private PromptShape shape = PromptShape.NONE;
+    private long arrivedNanos;
+    private long objectiveNanos;
+    private long deadlineNanos;
+
+    private Builder(long number) {
+      this.number = number;
+    }
+
+    /**
+     * Sets who wants what.
+     *
+     * @param newService service that the request goes to
+     * @param newTeam team that it belongs to
+     * @param newShape size of a model request
+     * @return this builder
+     */
+    public Builder request(ServiceName newService, TeamName newTeam, PromptShape newShape) {
+      service = newService;
+      team = newTeam;
+      shape = newShape;
+      return this;
+    }
+
+    /**
+     * Sets the times, all monotonic.
+     *
+     * @param newArrived arrival
+     * @param newObjective until when an answer has its full value
+     * @param newDeadline until when the caller waits
+     * @return this builder
+     */
+    public Builder times(long newArrived, long newObjective, long newDeadline) {
+      arrivedNanos = newArrived;
+      objectiveNanos = newObjective;
+      deadlineNanos = newDeadline;
+      return this;
+    }
+
+    /**
+     * Makes the ticket.
+     *
+     * @return the ticket
+     */
+    public Ticket build() {
+      return new Ticket(this);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
@@ -0,0 +1,234 @@
+package org.dandelionbeam.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.dandelionbeam.base.FailureDomain;
+
+/**
+ * The upstreams that may get requests, by the entries in the platform's store.
+ *
+ * <p>An entry that vanishes while the store was lately disturbed may have lapsed with the upstream
+ * alive, so the upstream stays in use for a grace period. Not thread-safe.
+ */
+public final class UpstreamDirectory {
+  /** Lapsed entries of live upstreams are back within about two seconds of the store's return. */
+  static final Duration LAPSE_GRACE = Duration.ofMillis(2_200);
+
+  /** An upstream that left unannounced serves for the drain time only; stop well before. */
+  static final Duration REMOVAL_GRACE = Duration.ofMillis(1_200);
+
+  private final Map<InstanceId, Tracked> tracked = new HashMap<>();
+  private final Set<FailureDomain> evacuated = new HashSet<>();
+  private long disturbedUntilNanos = Long.MIN_VALUE;
+
+  private UpstreamDirectory() {}
+
+  /**
+   * Returns an empty directory.
+   *
+   * @return the directory
+   */
+  public static UpstreamDirectory create() {
+    return new UpstreamDirectory();
+  }
+
+  /**
+   * Takes what an upstream says of itself.
+   *
+   * @param instance the entry
+   * @param nowNanos monotonic time
+   * @return true if this is a start that was not known
+   */
+  public boolean put(UpstreamInstance instance, long nowNanos) {
+    Tracked known = tracked.get(instance.id());
+    boolean started = known == null || known.instance.incarnation() < instance.incarnation();
+    if (known != null && known.instance.incarnation() > instance.incarnation()) {
+      return false;
+    }
+    long coldUntil = nowNanos + instance.coldRemaining().toNanos();
+    if (!started) {
+      coldUntil = Math.max(coldUntil, known.coldUntilNanos);
+    }
+    tracked.put(instance.id(), new Tracked(instance, coldUntil));
+    return started;
+  }
+
+  /**
+   * Notes that an entry is gone.
+   *
+   * @param id the upstream
+   * @param nowNanos monotonic time
+   */
+  public void remove(InstanceId id, long nowNanos) {
+    Tracked known = tracked.get(id);
+    if (known == null) {
+      return;
+    }
+    if (nowNanos - disturbedUntilNanos < 0 && !known.instance.draining()) {
+      long grace = Math.min(REMOVAL_GRACE.toNanos(), disturbedUntilNanos - nowNanos);
+      known.removedAtNanos = Math.min(known.removedAtNanos, nowNanos + grace);
+    } else {
+      tracked.remove(id);
+    }
+  }
+
+  /**
+   * Takes a whole listing: what it lacks is gone.
+   *
+   * @param listed all entries that name an upstream
+   * @param nowNanos monotonic time
+   */
+  public void replaceAll(Collection<UpstreamInstance> listed, long nowNanos) {
+    Set<InstanceId> present = new HashSet<>();
+    for (UpstreamInstance instance : listed) {
+      present.add(instance.id());
+      put(instance, nowNanos);
+    }
+    List.copyOf(tracked.keySet()).stream()
+        .filter(id -> !present.contains(id))
+        .forEach(id -> remove(id, nowNanos));
+  }
+
+  /**
+   * Notes that the store failed a call; entries that vanish soon after may only have lapsed.
+   *
+   * @param nowNanos monotonic time
+   */
+  public void storeDisturbed(long nowNanos) {
+    disturbedUntilNanos = nowNanos + LAPSE_GRACE.toNanos();
+  }
+
+  /**
+   * Drops upstreams whose grace period is over.
+   *
+   * @param nowNanos monotonic time
+   * @return the upstreams that were dropped
+   */
+  public List<InstanceId> expire(long nowNanos) {
+    List<InstanceId> gone = new ArrayList<>();
+    for (Iterator<Tracked> all = tracked.values().iterator(); all.hasNext(); ) {
+      Tracked known = all.next();
+      if (known.removedAtNanos != Long.MAX_VALUE && nowNanos - known.removedAtNanos >= 0) {
+        gone.add(known.instance.id());
+        all.remove();
+      }
+    }
+    return gone;
+  }
+
+  /**
+   * Takes the failure domains that operators took out of service.
+   *
+   * @param domains the domains
+   * @param nowNanos monotonic time
+   * @param coldStart how long upstreams of a domain that returns count as cold
+   */
+  public void evacuate(Set<FailureDomain> domains, long nowNanos, Duration coldStart) {
+    for (FailureDomain domain : evacuated) {
+      if (!domains.contains(domain)) {
+        tracked.values().stream()
+            .filter(known -> known.instance.domain().equals(domain))
+            .forEach(known -> known.warmLater(nowNanos + coldStart.toNanos()));
+      }
+    }
+    evacuated.clear();
+    evacuated.addAll(domains);
+  }
+
+  /**
+   * Returns the failure domains that are out of service.
+   *
+   * @return the domains
+   */
+  public Set<FailureDomain> evacuated() {
+    return Set.copyOf(evacuated);
+  }
+
+  /**
+   * Marks an upstream as cold.
+   *
+   * @param id the upstream
+   * @param remaining how much longer it stays cold
+   * @param nowNanos monotonic time
+   */
+  public void turnedCold(InstanceId id, Duration remaining, long nowNanos) {
+    Tracked known = tracked.get(id);
+    if (known != null) {
+      known.warmLater(nowNanos + remaining.toNanos());
+    }
+  }
+
+  /**
+   * Returns the upstreams of a service that may get requests.
+   *
+   * @param service the service
+   * @return the upstreams, neither draining nor in a domain that is out of service
+   */
+  public List<UpstreamInstance> usable(ServiceName service) {
+    List<UpstreamInstance> found = new ArrayList<>();
+    for (Tracked known : tracked.values()) {
+      UpstreamInstance instance = known.instance;
+      if (instance.service().equals(service)
+          && !instance.draining()
+          && !evacuated.contains(instance.domain())) {
+        found.add(instance);
+      }
+    }
+    return found;
+  }
+
+  /**
+   * Tells whether an upstream is cold.
+   *
+   * @param id the upstream
+   * @param nowNanos monotonic time
+   * @return true while it bears only a few requests
+   */
+  public boolean isCold(InstanceId id, long nowNanos) {
+    Tracked known = tracked.get(id);
+    return known != null && nowNanos - known.coldUntilNanos < 0;
+  }
+
+  /**
+   * Finds an upstream.
+   *
+   * @param id the upstream
+   * @return what it said last, empty if it is gone
+   */
+  public Optional<UpstreamInstance> find(InstanceId id) {
+    return Optional.ofNullable(tracked.get(id)).map(known -> known.instance);
+  }
+
+  /**
+   * Returns all known upstreams.
+   *
+   * @return the upstreams, draining ones too
+   */
+  public List<UpstreamInstance> all() {
+    return tracked.values().stream().map(known -> known.instance).toList();
+  }
+
+  /** An upstream with what is inferred about it. */
+  private static final class Tracked {
+    private final UpstreamInstance instance;
+    private long coldUntilNanos;
+    private long removedAtNanos = Long.MAX_VALUE;
+
+    Tracked(UpstreamInstance instance, long coldUntilNanos) {
+      this.instance = instance;
+      this.coldUntilNanos = coldUntilNanos;
+    }
+
+    void warmLater(long untilNanos) {
+      coldUntilNanos = Math.max(coldUntilNanos, untilNanos);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamHealth.java
@@ -0,0 +1,93 @@
+package org.dandelionbeam.routing;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/** How the upstreams treated this router's requests lately. Not thread-safe. */
+public final class UpstreamHealth {
+  /** First time for which an upstream that can't be reached is avoided; doubles each time. */
+  private static final Duration FIRST_AVOIDANCE = Duration.ofMillis(500);
+
+  private static final Duration MAX_AVOIDANCE = Duration.ofSeconds(4);
+  private static final double ERROR_WEIGHT = 0.15;
+
+  private final Map<InstanceId, State> states = new HashMap<>();
+
+  private UpstreamHealth() {}
+
+  /**
+   * Returns a record without experience.
+   *
+   * @return the record
+   */
+  public static UpstreamHealth create() {
+    return new UpstreamHealth();
+  }
+
+  /**
+   * Notes an answer.
+   *
+   * @param id the upstream
+   * @param good whether the upstream served the request
+   */
+  public void answered(InstanceId id, boolean good) {
+    State state = states.computeIfAbsent(id, key -> new State());
+    state.errorRate += ERROR_WEIGHT * ((good ? 0 : 1) - state.errorRate);
+    state.avoidUntilNanos = Long.MIN_VALUE;
+    state.failures = 0;
+  }
+
+  /**
+   * Notes that an upstream could not be reached or broke off.
+   *
+   * @param id the upstream
+   * @param nowNanos monotonic time
+   */
+  public void broken(InstanceId id, long nowNanos) {
+    State state = states.computeIfAbsent(id, key -> new State());
+    state.errorRate += ERROR_WEIGHT * (1 - state.errorRate);
+    long avoidance = FIRST_AVOIDANCE.toNanos() << Math.min(state.failures, 3);
+    state.failures++;
+    state.avoidUntilNanos = nowNanos + Math.min(avoidance, MAX_AVOIDANCE.toNanos());
+  }
+
+  /**
+   * Tells whether an upstream should get no request for now.
+   *
+   * @param id the upstream
+   * @param nowNanos monotonic time
+   * @return true for some time after it could not be reached
+   */
+  public boolean isAvoided(InstanceId id, long nowNanos) {
+    State state = states.get(id);
+    return state != null && nowNanos - state.avoidUntilNanos < 0 && state.failures > 0;
+  }
+
+  /**
+   * Returns the share of bad answers.
+   *
+   * @param id the upstream
+   * @return 0 to 1, weighted towards the latest answers
+   */
+  public double errorRate(InstanceId id) {
+    State state = states.get(id);
+    return state == null ? 0 : state.errorRate;
+  }
+
+  /**
+   * Forgets an upstream that left or started again.
+   *
+   * @param id the upstream
+   */
+  public void forget(InstanceId id) {
+    states.remove(id);
+  }
+
+  /** Experience with one upstream. */
+  private static final class State {
+    private double errorRate;
+    private int failures;
+    private long avoidUntilNanos = Long.MIN_VALUE;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamLoad.java
@@ -0,0 +1,40 @@
+package org.dandelionbeam.routing;
+
+/**
+ * Work that routers have sent to an upstream and that is not done.
+ *
+ * @param inFlight requests without an end
+ * @param unreadTokens prompt tokens that the engine has to read before their first output
+ * @param memoryTokens tokens that the requests occupy in the engine's memory
+ */
+public record UpstreamLoad(int inFlight, long unreadTokens, long memoryTokens) {
+
+  /** No work. */
+  public static final UpstreamLoad NONE = new UpstreamLoad(0, 0, 0);
+
+  /**
+   * Adds the work of another router.
+   *
+   * @param other its work
+   * @return the sum
+   */
+  public UpstreamLoad plus(UpstreamLoad other) {
+    return new UpstreamLoad(
+        inFlight + other.inFlight,
+        unreadTokens + other.unreadTokens,
+        memoryTokens + other.memoryTokens);
+  }
+
+  /**
+   * Scales the work, to stand for routers that were not heard.
+   *
+   * @param factor 1 or more
+   * @return the scaled work
+   */
+  public UpstreamLoad times(double factor) {
+    return new UpstreamLoad(
+        (int) Math.round(inFlight * factor),
+        Math.round(unreadTokens * factor),
+        Math.round(memoryTokens * factor));
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CallerSession.java
@@ -0,0 +1,285 @@
+package org.dandelionbeam.routing.wiring;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.dandelionbeam.base.ErrorCode;
+import org.dandelionbeam.routing.CallerLimits;
+
+/** One connection of a caller; its requests are served one after another. */
+final class CallerSession extends ChannelInboundHandlerAdapter {
+  /** Parts of later requests that wait for the current answer before reading stops. */
+  private static final int MAX_PENDING_PARTS = 32;
+
+  private final RouterContext router;
+  private final Deque<HttpObject> pending = new ArrayDeque<>();
+  private ChannelHandlerContext ctx;
+  private HttpRequest head;
+  private ByteBuf body;
+  private RequestTask current;
+  private boolean keepAlive = true;
+  private boolean closing;
+  private boolean answering;
+  private long activeNanos = System.nanoTime();
+  private long partialSinceNanos;
+  private boolean partial;
+
+  CallerSession(RouterContext router) {
+    this.router = requireNonNull(router, "router");
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    ctx = context;
+    router.sessions().add(this);
+  }
+
+  /** Notes that bytes arrived, before they make up a head. */
+  void bytesArrived() {
+    if (current == null && head == null && !partial) {
+      partial = true;
+      partialSinceNanos = System.nanoTime();
+    }
+  }
+
+  /** Closes the connection if its caller is too slow or has been idle for too long. */
+  void checkIdle() {
+    CallerLimits limits = router.limits();
+    long now = System.nanoTime();
+    if (closing || current != null) {
+      return;
+    }
+    boolean receiving = partial || head != null;
+    if (receiving && now - partialSinceNanos > limits.headerTimeout().toNanos()) {
+      refuse(HttpResponseStatus.REQUEST_TIMEOUT, ErrorCode.REQUEST_TIMEOUT);
+    } else if (!receiving && now - activeNanos > limits.idleTimeout().toNanos()) {
+      close();
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    HttpObject part = (HttpObject) message;
+    if (closing) {
+      ReferenceCountUtil.release(part);
+    } else if (current != null || !pending.isEmpty()) {
+      pending.addLast(part);
+      if (pending.size() > MAX_PENDING_PARTS) {
+        ctx.channel().config().setAutoRead(false);
+      }
+    } else {
+      handle(part);
+    }
+  }
+
+  private void handle(HttpObject part) {
+    try {
+      if (part.decoderResult().isFailure()) {
+        refuseMalformed(part.decoderResult().cause());
+        return;
+      }
+      if (part instanceof HttpRequest request) {
+        receivedHead(request);
+      }
+      if (part instanceof HttpContent content && head != null && !closing) {
+        receivedContent(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(part);
+    }
+  }
+
+  private void receivedHead(HttpRequest request) {
+    partial = false;
+    partialSinceNanos = System.nanoTime();
+    if (!isWellFramed(request)) {
+      refuse(HttpResponseStatus.BAD_REQUEST, ErrorCode.MALFORMED_REQUEST);
+      return;
+    }
+    if (HttpUtil.getContentLength(request, 0L) > router.limits().maxBodyBytes()) {
+      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, ErrorCode.BODY_TOO_LARGE);
+      return;
+    }
+    head = request;
+    body = ctx.alloc().heapBuffer((int) HttpUtil.getContentLength(request, 0L));
+    if (HttpUtil.is100ContinueExpected(request)) {
+      ctx.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
+  private static boolean isWellFramed(HttpRequest request) {
+    boolean hasCoding = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+    boolean chunked =
+        request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size() == 1
+            && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                request.headers().get(HttpHeaderNames.TRANSFER_ENCODING));
+    return request.headers().getAll(HttpHeaderNames.HOST).size() == 1
+        && (!hasCoding || (chunked && request.protocolVersion().equals(HttpVersion.HTTP_1_1)));
+  }
+
+  private void receivedContent(HttpContent content) {
+    if (body.readableBytes() + content.content().readableBytes() > router.limits().maxBodyBytes()) {
+      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, ErrorCode.BODY_TOO_LARGE);
+      return;
+    }
+    body.writeBytes(content.content());
+    partialSinceNanos = System.nanoTime();
+    if (content instanceof LastHttpContent) {
+      HttpRequest whole = head;
+      ByteBuf wholeBody = body;
+      head = null;
+      body = null;
+      keepAlive = HttpUtil.isKeepAlive(whole);
+      current = new RequestTask(router, this, whole, wholeBody);
+      current.start();
+    }
+  }
+
+  private void refuseMalformed(Throwable cause) {
+    if (cause instanceof TooLongHttpHeaderException) {
+      refuse(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, ErrorCode.HEADERS_TOO_LARGE);
+    } else if (cause instanceof TooLongHttpLineException) {
+      refuse(HttpResponseStatus.REQUEST_URI_TOO_LONG, ErrorCode.URI_TOO_LONG);
+    } else {
+      refuse(HttpResponseStatus.BAD_REQUEST, ErrorCode.MALFORMED_REQUEST);
+    }
+  }
+
+  /** Answers bytes that made no request, and closes since what follows can't be told apart. */
+  private void refuse(HttpResponseStatus status, ErrorCode code) {
+    router.log().badInput(String.valueOf(ctx.channel().remoteAddress()), status.code(), code);
+    FullHttpResponse answer = Replies.error(status, code);
+    answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    closing = true;
+    ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  /** Sends a whole answer. */
+  void answer(FullHttpResponse answer) {
+    prepare(answer);
+    ctx.writeAndFlush(answer);
+    done();
+  }
+
+  /** Sends the head of an answer whose body follows in parts. */
+  void answerHead(HttpResponse answer) {
+    answering = true;
+    prepare(answer);
+    ctx.write(answer);
+  }
+
+  void answerPart(ByteBuf part) {
+    ctx.write(new DefaultHttpContent(part.retainedDuplicate()));
+  }
+
+  void flush() {
+    ctx.flush();
+  }
+
+  void answerEnd() {
+    ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    done();
+  }
+
+  private void prepare(HttpResponse answer) {
+    if (!keepAlive || router.isLeaving()) {
+      keepAlive = false;
+      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  private void done() {
+    current = null;
+    answering = false;
+    activeNanos = System.nanoTime();
+    if (!keepAlive) {
+      closing = true;
+      ctx.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER)
+          .addListener(ChannelFutureListener.CLOSE);
+      return;
+    }
+    while (current == null && !closing && !pending.isEmpty()) {
+      handle(pending.pollFirst());
+    }
+    if (pending.size() <= MAX_PENDING_PARTS) {
+      ctx.channel().config().setAutoRead(true);
+    }
+  }
+
+  /** Ends the connection, which tells the caller that the answer is not whole. */
+  void breakOff() {
+    current = null;
+    close();
+  }
+
+  /** Closes the connection if no request is on it; a request that arrives meanwhile is unread. */
+  void closeIfIdle() {
+    keepAlive = false;
+    if (current == null && head == null && !partial) {
+      close();
+    }
+  }
+
+  private void close() {
+    closing = true;
+    ctx.close();
+  }
+
+  boolean isWritable() {
+    return ctx.channel().isWritable();
+  }
+
+  boolean isAnswering() {
+    return answering;
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    if (current != null) {
+      current.callerWritable(context.channel().isWritable());
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    closing = true;
+    router.sessions().remove(this);
+    if (current != null) {
+      current.callerLeft();
+      current = null;
+    }
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+    pending.forEach(ReferenceCountUtil::release);
+    pending.clear();
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/EventLog.java
@@ -0,0 +1,138 @@
+package org.dandelionbeam.routing.wiring;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import org.dandelionbeam.base.ErrorCode;
+import org.dandelionbeam.base.MonotonicClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes decisions and beliefs as JSON lines, with a bound on the lines of a second.
+ *
+ * <p>What exceeds the bound is counted, and the count is written once the bound allows it.
+ */
+public final class EventLog {
+  /** Keeps the cost of logs under a few percent of a core however many requests fail. */
+  private static final int MAX_LINES_PER_SECOND = 150;
+
+  private static final long SECOND_NANOS = 1_000_000_000L;
+
+  private final Logger logger = LoggerFactory.getLogger("decisions");
+  private final JsonFactory json = new JsonFactory();
+  private final String router;
+  private final MonotonicClock clock;
+  private long secondStart;
+  private int lines;
+  private long leftOut;
+
+  private EventLog(String router, MonotonicClock clock) {
+    this.router = requireNonNull(router, "router");
+    this.clock = requireNonNull(clock, "clock");
+    secondStart = clock.nanos();
+  }
+
+  /**
+   * Returns a log.
+   *
+   * @param router name of this router
+   * @param clock clock of the bound
+   * @return the log
+   */
+  public static EventLog of(String router, MonotonicClock clock) {
+    return new EventLog(router, clock);
+  }
+
+  /**
+   * Starts a line.
+   *
+   * @param event what happened, in lower case with underscores
+   * @return the line
+   */
+  public Line line(String event) {
+    return new Line(event);
+  }
+
+  /** Logs bytes that made no request. */
+  void badInput(String from, int status, ErrorCode code) {
+    line("bad_input").with("from", from).with("status", status).with("code", code).write();
+  }
+
+  private boolean admits() {
+    long now = clock.nanos();
+    if (now - secondStart >= SECOND_NANOS) {
+      secondStart = now;
+      lines = 0;
+      if (leftOut > 0) {
+        long count = leftOut;
+        leftOut = 0;
+        line("lines_left_out").with("count", count).write();
+      }
+    }
+    lines++;
+    if (lines > MAX_LINES_PER_SECOND) {
+      leftOut++;
+      return false;
+    }
+    return true;
+  }
+
+  /** One line that is being made. */
+  public final class Line {
+    private final StringWriter text = new StringWriter();
+    private final JsonGenerator generator;
+
+    private Line(String event) {
+      try {
+        generator = json.createGenerator(text);
+        generator.writeStartObject();
+        generator.writeNumberField("time", System.currentTimeMillis());
+        generator.writeStringField("router", router);
+        generator.writeStringField("event", event);
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
+    /**
+     * Adds a field.
+     *
+     * @param name name of the field
+     * @param value number, truth value, or anything that is written as its text
+     * @return this line
+     */
+    public Line with(String name, Object value) {
+      try {
+        if (value instanceof Number number) {
+          generator.writeNumberField(name, number.longValue());
+        } else if (value instanceof Boolean truth) {
+          generator.writeBooleanField(name, truth);
+        } else {
+          generator.writeStringField(name, String.valueOf(value));
+        }
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+      return this;
+    }
+
+    /** Writes the line unless the bound is reached. */
+    public void write() {
+      if (!admits()) {
+        return;
+      }
+      try {
+        generator.writeEndObject();
+        generator.close();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+      logger.info("{}", text);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -0,0 +1,218 @@
+package org.dandelionbeam.routing.wiring;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.dandelionbeam.routing.Endpoint;
+import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.InstanceId;
+
+/**
+ * A router: takes requests of callers, sends them to upstreams and exchanges reports with its
+ * peers. Everything runs on one event loop, and its methods must be called there.
+ */
+public final class FleetRouter {
+  /** Peers choose upstreams by these reports, so they must be younger than a request's reading. */
+  private static final Duration REPORT_INTERVAL = Duration.ofMillis(50);
+
+  /** Requests that wait are looked at again at least so often. */
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
+
+  private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
+
+  /** Callers keep an address for a few seconds after it left the directory. */
+  private static final Duration LISTEN_AFTER_LEAVE = Duration.ofMillis(2_200);
+
+  private static final int BACKLOG = 1_024;
+  private static final int WRITE_LOW_BYTES = 32 << 10;
+  private static final int WRITE_HIGH_BYTES = 128 << 10;
+
+  private final RouterContext context;
+  private final PeerLink peers;
+  private Channel listener;
+
+  private FleetRouter(RouterContext context) {
+    this.context = context;
+    peers = new PeerLink(context);
+  }
+
+  /**
+   * Returns a router that doesn't listen yet.
+   *
+   * @param loop its event loop
+   * @param fleet what it believes
+   * @param dialect translates headers
+   * @param log log of its decisions
+   * @param metrics its counters
+   * @return the router
+   */
+  public static FleetRouter of(
+      EventLoop loop, FleetState fleet, HttpDialect dialect, EventLog log, RouterMetrics metrics) {
+    requireNonNull(loop, "loop");
+    UpstreamPool pool = new UpstreamPool(loop, ByteBufAllocator.DEFAULT);
+    RouterContext context = new RouterContext(loop, fleet, dialect, pool, log, metrics);
+    metrics.gauge("waiting_requests", () -> context.scheduler().waitingCount());
+    metrics.gauge("upstream_connections_opened", pool::opened);
+    return new FleetRouter(context);
+  }
+
+  /** Starts to listen for callers and peers. */
+  public void start() {
+    Endpoint callers = context.fleet().members().self().callers();
+    listener =
+        new ServerBootstrap()
+            .group(context.loop(), context.loop())
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new io.netty.channel.WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
+            .childHandler(new Pipeline())
+            .bind(callers.host(), callers.port())
+            .syncUninterruptibly()
+            .channel();
+    peers.bind(context.fleet().members().self().peers());
+    every(REPORT_INTERVAL, () -> peers.report(isReady()));
+    every(POLL_INTERVAL, context::poll);
+    every(SWEEP_INTERVAL, this::sweep);
+  }
+
+  private void every(Duration interval, Runnable work) {
+    long millis = interval.toMillis();
+    context.loop().scheduleWithFixedDelay(guarded(work), millis, millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** A failure of one run must not end the later ones. */
+  private Runnable guarded(Runnable work) {
+    return () -> {
+      try {
+        work.run();
+      } catch (RuntimeException e) {
+        context.log().line("internal_error").with("cause", e).write();
+      }
+    };
+  }
+
+  private void sweep() {
+    long now = context.tick();
+    for (InstanceId gone : context.fleet().upstreams().expire(now)) {
+      context.log().line("upstream_gone").with("upstream", gone).with("why", "lapsed").write();
+      context.fleet().health().forget(gone);
+      context.fleet().coldPace().forget(gone);
+    }
+    List.copyOf(context.sessions()).forEach(CallerSession::checkIdle);
+  }
+
+  /**
+   * Tells whether the router takes requests.
+   *
+   * @return true once it knows a configuration and until it leaves
+   */
+  public boolean isReady() {
+    return context.fleet().table().isPresent() && !context.isLeaving();
+  }
+
+  /**
+   * Returns the addresses that callers may use.
+   *
+   * @return addresses of routers that take requests
+   */
+  public List<Endpoint> addresses() {
+    return context.fleet().members().serving(isReady(), context.tick());
+  }
+
+  /**
+   * Returns what the router believes, so that news can be put in.
+   *
+   * @return the state, at the present time
+   */
+  public FleetState fleet() {
+    context.tick();
+    return context.fleet();
+  }
+
+  /** Decides again on requests that wait, since something changed. */
+  public void changed() {
+    context.pollSoon();
+  }
+
+  /**
+   * Leaves the fleet: callers are sent elsewhere, and open requests are finished.
+   *
+   * @param limit time after which remaining requests are given up
+   * @param done runs when no request is left, or at the limit
+   */
+  public void leave(Duration limit, Runnable done) {
+    context.leave();
+    peers.report(false);
+    context.log().line("leaving").with("open_connections", context.sessions().size()).write();
+    long deadline = System.nanoTime() + limit.toNanos();
+    context
+        .loop()
+        .schedule(this::stopListening, LISTEN_AFTER_LEAVE.toMillis(), TimeUnit.MILLISECONDS);
+    awaitEnd(deadline, System.nanoTime() + LISTEN_AFTER_LEAVE.toNanos(), done);
+  }
+
+  private void stopListening() {
+    listener.close();
+    List.copyOf(context.sessions()).forEach(CallerSession::closeIfIdle);
+  }
+
+  private void awaitEnd(long deadlineNanos, long notBeforeNanos, Runnable done) {
+    long now = System.nanoTime();
+    boolean idle = context.sessions().isEmpty() && now - notBeforeNanos > 0;
+    if (idle || now - deadlineNanos > 0) {
+      context.log().line("left").with("open_connections", context.sessions().size()).write();
+      done.run();
+      return;
+    }
+    context
+        .loop()
+        .schedule(
+            () -> awaitEnd(deadlineNanos, notBeforeNanos, done),
+            POLL_INTERVAL.toMillis(),
+            TimeUnit.MILLISECONDS);
+  }
+
+  /** Handlers of a caller's connection. */
+  private final class Pipeline extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel channel) {
+      CallerSession session = new CallerSession(context);
+      channel
+          .pipeline()
+          .addLast(new ArrivalNotice(session))
+          .addLast(new StrictRequestDecoder(context.limits().maxHeaderBytes()))
+          .addLast(new HttpResponseEncoder())
+          .addLast(session);
+    }
+  }
+
+  /** Tells the session of bytes before they make up a head. */
+  private static final class ArrivalNotice extends ChannelInboundHandlerAdapter {
+    private final CallerSession session;
+
+    ArrivalNotice(CallerSession session) {
+      this.session = session;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      session.bytesArrived();
+      ctx.fireChannelRead(message);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
@@ -0,0 +1,93 @@
+package org.dandelionbeam.routing.wiring;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import org.dandelionbeam.base.FleetException;
+import org.dandelionbeam.routing.InstanceId;
+import org.dandelionbeam.routing.PromptShape;
+import org.dandelionbeam.routing.TeamName;
+
+/** Translates the headers of callers and upstreams. */
+public interface HttpDialect {
+
+  /**
+   * Reads what a caller says of its request.
+   *
+   * @param head head of the request
+   * @return what it says
+   * @throws FleetException if a header that must be there is missing or can't be read
+   */
+  CallerTerms readRequest(HttpRequest head);
+
+  /**
+   * Makes the headers of a request to an upstream.
+   *
+   * @param head head of the caller's request
+   * @param terms what the router adds
+   * @return headers without those of the caller's connection
+   */
+  HttpHeaders upstreamHeaders(HttpRequest head, UpstreamTerms terms);
+
+  /**
+   * Reads what an upstream says of its answer.
+   *
+   * @param head head of the answer
+   * @return what it says
+   */
+  AnswerTerms readAnswer(HttpResponse head);
+
+  /**
+   * Makes the headers of an answer to a caller.
+   *
+   * @param head head of the upstream's answer
+   * @return headers without those of the upstream's connection
+   */
+  HttpHeaders callerHeaders(HttpResponse head);
+
+  /**
+   * Makes the head that a router's own answers bear, so that the caller knows its request.
+   *
+   * @param requestId id that the caller gave to its request
+   * @return the headers
+   */
+  HttpHeaders ownHeaders(String requestId);
+
+  /**
+   * What a caller says of its request.
+   *
+   * @param requestId id of the caller's attempt
+   * @param patience how long the caller waits, empty if it doesn't say
+   * @param key the caller's key, empty if it sends none
+   * @param shape size of a model request
+   */
+  record CallerTerms(
+      String requestId, Optional<Duration> patience, Optional<String> key, PromptShape shape) {}
+
+  /**
+   * What the router adds to a request.
+   *
+   * @param expected upstream that the request is for
+   * @param left time that is left
+   * @param team team that holds the caller's key, empty if the caller needs none
+   */
+  record UpstreamTerms(InstanceId expected, Duration left, Optional<TeamName> team) {}
+
+  /**
+   * What an upstream says of its answer.
+   *
+   * @param requestId id of the request that is answered, empty if it doesn't say
+   * @param sealed whether the answer bears the upstream's signature
+   * @param notRun whether the upstream says that it did not run the request
+   * @param idleLimit how long the upstream keeps an idle connection, empty if it doesn't say
+   * @param coldRemaining how much longer the upstream is cold, empty if it doesn't say
+   */
+  record AnswerTerms(
+      Optional<String> requestId,
+      boolean sealed,
+      boolean notRun,
+      Optional<Duration> idleLimit,
+      Optional<Duration> coldRemaining) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
@@ -0,0 +1,101 @@
+package org.dandelionbeam.routing.wiring;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import org.dandelionbeam.routing.Endpoint;
+import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.RouterName;
+
+/** Exchanges reports between routers by datagrams; a lost one is followed by the next. */
+final class PeerLink {
+  /** Service fades slowly, so only one report in so many brings it. */
+  private static final int SERVICE_EVERY = 5;
+
+  private final RouterContext router;
+  private Channel channel;
+  private int sequence;
+
+  PeerLink(RouterContext router) {
+    this.router = requireNonNull(router, "router");
+  }
+
+  /** Starts to listen for reports. */
+  void bind(Endpoint endpoint) {
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(router.loop())
+            .channel(NioDatagramChannel.class)
+            .handler(new Receiver());
+    channel = bootstrap.bind(endpoint.host(), endpoint.port()).channel();
+  }
+
+  /** Sends a report to all known routers. */
+  void report(boolean serving) {
+    if (channel == null || !channel.isActive()) {
+      return;
+    }
+    FleetState fleet = router.fleet();
+    long now = router.tick();
+    boolean withService = sequence % SERVICE_EVERY == 0;
+    sequence++;
+    PeerReport report =
+        new PeerReport(
+            fleet.members().self(),
+            serving,
+            fleet.loads().own(),
+            withService ? fleet.usage().own(now) : Map.of());
+    try {
+      byte[] bytes = report.encode();
+      for (Member peer : fleet.members().peers()) {
+        InetSocketAddress address = new InetSocketAddress(peer.peers().host(), peer.peers().port());
+        channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
+      }
+      channel.flush();
+    } catch (IOException e) {
+      router.log().line("report_failed").with("cause", e).write();
+    }
+  }
+
+  private void received(byte[] bytes) {
+    try {
+      PeerReport report = PeerReport.decode(bytes);
+      long now = router.tick();
+      RouterName name = report.sender().name();
+      FleetState fleet = router.fleet();
+      fleet.members().heard(report.sender(), report.serving(), now);
+      fleet.loads().heard(name, report.loads(), now);
+      if (!report.service().isEmpty()) {
+        fleet.usage().heard(name, report.service(), now);
+      }
+      router.pollSoon();
+    } catch (IOException e) {
+      router.log().line("report_unreadable").with("cause", e.getMessage()).write();
+    }
+  }
+
+  /** Takes datagrams. */
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+      byte[] bytes = new byte[packet.content().readableBytes()];
+      packet.content().readBytes(bytes);
+      received(bytes);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      router.log().line("peer_link_error").with("cause", cause).write();
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerReport.java
@@ -0,0 +1,102 @@
+package org.dandelionbeam.routing.wiring;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.dandelionbeam.base.FailureDomain;
+import org.dandelionbeam.routing.Endpoint;
+import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.UpstreamLoad;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * What a router tells its peers several times a second.
+ *
+ * @param sender the router
+ * @param serving whether it takes requests
+ * @param loads its work in flight by number of the upstream
+ * @param service faded service that it gave, by number of the team
+ */
+record PeerReport(
+    Member sender,
+    boolean serving,
+    Map<Integer, UpstreamLoad> loads,
+    Map<Integer, Double> service) {
+  private static final int FORMAT = 1;
+
+  /** Returns the report as MessagePack. */
+  byte[] encode() throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(FORMAT);
+      packer.packString(sender.name().text());
+      packer.packString(sender.callers().toString());
+      packer.packString(sender.peers().toString());
+      packer.packString(sender.domain().name());
+      packer.packLong(sender.incarnation());
+      packer.packBoolean(serving);
+      packer.packMapHeader(loads.size());
+      for (Map.Entry<Integer, UpstreamLoad> entry : loads.entrySet()) {
+        packer.packInt(entry.getKey());
+        packer.packInt(entry.getValue().inFlight());
+        packer.packLong(entry.getValue().unreadTokens());
+        packer.packLong(entry.getValue().memoryTokens());
+      }
+      packer.packMapHeader(service.size());
+      for (Map.Entry<Integer, Double> entry : service.entrySet()) {
+        packer.packInt(entry.getKey());
+        packer.packFloat(entry.getValue().floatValue());
+      }
+      return packer.toByteArray();
+    }
+  }
+
+  /**
+   * Reads a report.
+   *
+   * @throws IOException if the bytes are no report of this format
+   */
+  static PeerReport decode(byte[] bytes) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      int format = unpacker.unpackInt();
+      if (format != FORMAT) {
+        throw new IOException("report of format " + format);
+      }
+      Member sender =
+          new Member(
+              RouterName.of(unpacker.unpackString()),
+              Endpoint.of(unpacker.unpackString()),
+              Endpoint.of(unpacker.unpackString()),
+              FailureDomain.of(unpacker.unpackString()),
+              unpacker.unpackLong());
+      boolean serving = unpacker.unpackBoolean();
+      return new PeerReport(sender, serving, loads(unpacker), service(unpacker));
+    } catch (MessagePackException | IllegalArgumentException e) {
+      throw new IOException("not a report", e);
+    }
+  }
+
+  private static Map<Integer, UpstreamLoad> loads(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackMapHeader();
+    Map<Integer, UpstreamLoad> loads = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      int upstream = unpacker.unpackInt();
+      loads.put(
+          upstream,
+          new UpstreamLoad(unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackLong()));
+    }
+    return loads;
+  }
+
+  private static Map<Integer, Double> service(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackMapHeader();
+    Map<Integer, Double> service = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      service.put(unpacker.unpackInt(), (double) unpacker.unpackFloat());
+    }
+    return service;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/Replies.java
@@ -0,0 +1,33 @@
+package org.dandelionbeam.routing.wiring;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import org.dandelionbeam.base.ErrorCode;
+
+/** Answers that the router makes itself. */
+final class Replies {
+  private static final String CONTENT_TYPE = "application/problem+json";
+
+  private Replies() {}
+
+  /** Returns an error with its code and remedy. */
+  static FullHttpResponse error(HttpResponseStatus status, ErrorCode code) {
+    String text = "{\"code\":\"" + code + "\",\"detail\":\"" + code.remedy() + "\"}";
+    return text(status, CONTENT_TYPE, text);
+  }
+
+  /** Returns an answer with a text. */
+  static FullHttpResponse text(HttpResponseStatus status, String contentType, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    FullHttpResponse answer =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(bytes));
+    answer.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+    answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+    return answer;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
@@ -0,0 +1,63 @@
+package org.dandelionbeam.routing.wiring;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.dandelionbeam.routing.Decision;
+import org.dandelionbeam.routing.RouteRule;
+
+/** The decisions on one request, written out when it ends badly or is drawn as a sample. */
+final class RequestTrace {
+  private static final double NANOS_PER_MS = 1e6;
+
+  private final long startNanos;
+  private final List<Step> steps = new ArrayList<>(6);
+
+  RequestTrace(long startNanos) {
+    this.startNanos = startNanos;
+  }
+
+  /** Notes the route and the version of the configuration that named it. */
+  void routed(RouteRule route, String team, long configVersion, long nowNanos) {
+    add("routed", "route=" + route.name() + " team=" + team, configVersion, nowNanos);
+  }
+
+  void granted(Decision.Granted grant, int inFlight, long nowNanos) {
+    String detail = "upstream=" + grant.instance().id() + " address=" + grant.instance().endpoint();
+    String load =
+        " ahead_tokens="
+            + grant.aheadTokens()
+            + " unread_tokens="
+            + grant.work().unreadTokens()
+            + " in_flight="
+            + inFlight;
+    add("granted", detail + load, grant.instance().incarnation(), nowNanos);
+  }
+
+  void waiting(int queued, long nowNanos) {
+    add("waiting", "queued=" + queued, 0, nowNanos);
+  }
+
+  void step(String name, String detail, long nowNanos) {
+    add(name, detail, 0, nowNanos);
+  }
+
+  private void add(String name, String detail, long version, long nowNanos) {
+    steps.add(new Step(name, detail, version, nowNanos));
+  }
+
+  /** Writes a line for each step. */
+  void write(EventLog log, String requestId) {
+    for (Step step : steps) {
+      EventLog.Line line =
+          log.line(step.name)
+              .with("request", requestId)
+              .with("at_ms", String.format("%.1f", (step.nanos - startNanos) / NANOS_PER_MS));
+      if (step.version != 0) {
+        line.with("version", step.version);
+      }
+      line.with("detail", step.detail).write();
+    }
+  }
+
+  private record Step(String name, String detail, long version, long nanos) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -0,0 +1,153 @@
+package org.dandelionbeam.routing.wiring;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.dandelionbeam.routing.CallerLimits;
+import org.dandelionbeam.routing.Decision;
+import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.RoutingTable;
+import org.dandelionbeam.routing.Scheduler;
+
+/** What the connections of a router share. Lives on one event loop. */
+final class RouterContext {
+  /** One request in so many is logged although it went well. */
+  private static final int SAMPLE = 100;
+
+  private final EventLoop loop;
+  private final FleetState fleet;
+  private final Scheduler scheduler;
+  private final HttpDialect dialect;
+  private final UpstreamPool pool;
+  private final EventLog log;
+  private final RouterMetrics metrics;
+  private final SplittableRandom random = new SplittableRandom();
+  private final Map<Long, RequestTask> waiting = new HashMap<>();
+  private final Set<CallerSession> sessions = new HashSet<>();
+  private long tickets;
+  private boolean pollPending;
+  private boolean leaving;
+
+  RouterContext(
+      EventLoop loop,
+      FleetState fleet,
+      HttpDialect dialect,
+      UpstreamPool pool,
+      EventLog log,
+      RouterMetrics metrics) {
+    this.loop = requireNonNull(loop, "loop");
+    this.fleet = requireNonNull(fleet, "fleet");
+    this.dialect = requireNonNull(dialect, "dialect");
+    this.pool = requireNonNull(pool, "pool");
+    this.log = requireNonNull(log, "log");
+    this.metrics = requireNonNull(metrics, "metrics");
+    scheduler = Scheduler.of(fleet, fleet.members().self().domain());
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  FleetState fleet() {
+    return fleet;
+  }
+
+  Scheduler scheduler() {
+    return scheduler;
+  }
+
+  HttpDialect dialect() {
+    return dialect;
+  }
+
+  UpstreamPool pool() {
+    return pool;
+  }
+
+  EventLog log() {
+    return log;
+  }
+
+  RouterMetrics metrics() {
+    return metrics;
+  }
+
+  Set<CallerSession> sessions() {
+    return sessions;
+  }
+
+  CallerLimits limits() {
+    return fleet.table().map(RoutingTable::limits).orElse(CallerLimits.DEFAULT);
+  }
+
+  long now() {
+    return System.nanoTime();
+  }
+
+  /** Moves the time of the decisions on, and returns it. */
+  long tick() {
+    long now = now();
+    fleet.at(now);
+    return now;
+  }
+
+  long nextTicket() {
+    tickets++;
+    return tickets;
+  }
+
+  int random(int bound) {
+    return random.nextInt(bound);
+  }
+
+  boolean drawSample() {
+    return random.nextInt(SAMPLE) == 0;
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
+  void leave() {
+    leaving = true;
+  }
+
+  /** Keeps a request until the scheduler decides on it. */
+  void await(long ticket, RequestTask task) {
+    waiting.put(ticket, task);
+  }
+
+  void forget(long ticket) {
+    waiting.remove(ticket);
+  }
+
+  /** Lets the scheduler decide again once the events at hand are handled. */
+  void pollSoon() {
+    if (!pollPending && !waiting.isEmpty()) {
+      pollPending = true;
+      loop.execute(this::poll);
+    }
+  }
+
+  /** Lets the scheduler decide again on the requests that wait. */
+  void poll() {
+    pollPending = false;
+    if (waiting.isEmpty()) {
+      return;
+    }
+    tick();
+    List<Decision> decisions = scheduler.poll();
+    for (Decision decision : decisions) {
+      RequestTask task = waiting.remove(decision.ticket().number());
+      if (task != null) {
+        task.decide(decision);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterMetrics.java
@@ -0,0 +1,98 @@
+package org.dandelionbeam.routing.wiring;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** Counters and latency histograms of a router, by route kind and by team. */
+public final class RouterMetrics {
+  /** Teams beyond the bound share one label, so that the page stays small. */
+  private static final int MAX_TEAMS = 64;
+
+  private static final Duration[] BUCKETS = {
+    Duration.ofMillis(3),
+    Duration.ofMillis(30),
+    Duration.ofMillis(100),
+    Duration.ofMillis(300),
+    Duration.ofMillis(600),
+    Duration.ofSeconds(1),
+    Duration.ofSeconds(3),
+    Duration.ofSeconds(10)
+  };
+
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Map<String, Counter> counters = new HashMap<>();
+  private final Map<String, Timer> timers = new HashMap<>();
+  private final Map<String, Boolean> teams = new HashMap<>();
+
+  private RouterMetrics() {}
+
+  /**
+   * Returns metrics without any sample.
+   *
+   * @return the metrics
+   */
+  public static RouterMetrics create() {
+    return new RouterMetrics();
+  }
+
+  /** Counts a finished request and its time. */
+  void request(String kind, String team, int status, long nanos) {
+    counter("dandelionbeam_requests", "status", Integer.toString(status)).increment();
+    timer("dandelionbeam_request", "kind", kind).record(Duration.ofNanos(nanos));
+    boolean known = teams.containsKey(team) || teams.size() < MAX_TEAMS;
+    String label = known ? team : "other";
+    teams.putIfAbsent(label, true);
+    timer("dandelionbeam_team_request", "team", label).record(Duration.ofNanos(nanos));
+  }
+
+  /** Counts something that happened. */
+  void count(String name, String label, String value) {
+    counter("dandelionbeam_" + name, label, value).increment();
+  }
+
+  /** Records the time from the arrival of a request to its first send. */
+  void dispatch(String kind, long nanos) {
+    timer("dandelionbeam_dispatch", "kind", kind).record(Duration.ofNanos(nanos));
+  }
+
+  /**
+   * Registers a value that is read when the page is asked for.
+   *
+   * @param name name of the value
+   * @param value reads it
+   */
+  public void gauge(String name, Supplier<Number> value) {
+    registry.gauge("dandelionbeam_" + name, value, held -> held.get().doubleValue());
+  }
+
+  /**
+   * Returns the page.
+   *
+   * @return text in the Prometheus format
+   */
+  public String page() {
+    return registry.scrape();
+  }
+
+  private Counter counter(String name, String label, String value) {
+    return counters.computeIfAbsent(
+        name + value, key -> Counter.builder(name).tag(label, value).register(registry));
+  }
+
+  private Timer timer(String name, String label, String value) {
+    return timers.computeIfAbsent(
+        name + value,
+        key ->
+            Timer.builder(name)
+                .tag(label, value)
+                .serviceLevelObjectives(BUCKETS)
+                .register(registry));
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/SideServer.java
@@ -0,0 +1,114 @@
+package org.dandelionbeam.routing.wiring;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.function.Function;
+import org.dandelionbeam.routing.Endpoint;
+
+/** Serves small pages beside the requests of callers: readiness, addresses, metrics. */
+public final class SideServer {
+  private static final int MAX_BODY_BYTES = 4_096;
+  private static final int IDLE_SECONDS = 20;
+
+  private SideServer() {}
+
+  /**
+   * A page.
+   *
+   * @param status HTTP status
+   * @param contentType type of the body
+   * @param body the body, possibly empty
+   */
+  public record Page(int status, String contentType, String body) {
+
+    /**
+     * Returns a page without a body.
+     *
+     * @param status HTTP status
+     * @return the page
+     */
+    public static Page of(int status) {
+      return new Page(status, "text/plain", "");
+    }
+  }
+
+  /**
+   * Starts to serve pages.
+   *
+   * @param loop event loop that serves them
+   * @param endpoint address to listen at
+   * @param pages returns the page for a path with its query
+   * @return the listening socket
+   */
+  public static Channel bind(EventLoop loop, Endpoint endpoint, Function<String, Page> pages) {
+    requireNonNull(pages, "pages");
+    ChannelInitializer<Channel> pipeline =
+        new ChannelInitializer<>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel
+                .pipeline()
+                .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
+                .addLast(new HttpServerCodec())
+                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                .addLast(new Handler(pages));
+          }
+        };
+    return new ServerBootstrap()
+        .group(loop, loop)
+        .channel(NioServerSocketChannel.class)
+        .childHandler(pipeline)
+        .bind(endpoint.host(), endpoint.port())
+        .syncUninterruptibly()
+        .channel();
+  }
+
+  /** Answers the requests of one connection. */
+  private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final Function<String, Page> pages;
+
+    Handler(Function<String, Page> pages) {
+      this.pages = pages;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+      Page page = request.decoderResult().isFailure() ? Page.of(400) : pages.apply(request.uri());
+      FullHttpResponse answer =
+          Replies.text(HttpResponseStatus.valueOf(page.status()), page.contentType(), page.body());
+      if (HttpUtil.isKeepAlive(request)) {
+        ctx.writeAndFlush(answer);
+      } else {
+        answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+      ctx.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/StrictRequestDecoder.java
@@ -0,0 +1,24 @@
+package org.dandelionbeam.routing.wiring;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/** Rejects requests whose length can be read in two ways, since they can hide another request. */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+  private static final int MAX_CHUNK_BYTES = 16_384;
+
+  StrictRequestDecoder(int maxHeaderBytes) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(maxHeaderBytes)
+            .setMaxHeaderSize(maxHeaderBytes)
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+            .setAllowDuplicateContentLengths(false));
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException("both a length and chunks");
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamConnection.java
@@ -0,0 +1,112 @@
+package org.dandelionbeam.routing.wiring;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
+import org.dandelionbeam.routing.Endpoint;
+
+/** One connection to an upstream, with at most one exchange on it. */
+final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+  /** Upstreams that don't say how long they keep idle connections mostly keep them longer. */
+  private static final Duration DEFAULT_IDLE_LIMIT = Duration.ofSeconds(4);
+
+  /** A request must not cross the upstream's close of an idle connection. */
+  private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
+
+  private Channel channel;
+  private UpstreamPool pool;
+  private Endpoint endpoint;
+  private UpstreamExchange exchange;
+  private long idleLimitNanos = DEFAULT_IDLE_LIMIT.toNanos();
+  private long idleSinceNanos = System.nanoTime();
+  private boolean spoiled;
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    channel = ctx.channel();
+  }
+
+  void belongsTo(UpstreamPool owner, Endpoint address) {
+    pool = owner;
+    endpoint = address;
+  }
+
+  Endpoint endpoint() {
+    return endpoint;
+  }
+
+  Channel channel() {
+    return channel;
+  }
+
+  boolean isUsable() {
+    long idleNanos = System.nanoTime() - idleSinceNanos;
+    return !spoiled && channel.isActive() && idleNanos < idleLimitNanos;
+  }
+
+  void hold(UpstreamExchange newExchange) {
+    exchange = newExchange;
+  }
+
+  /** Ends the exchange in order; the connection may be used again. */
+  void free() {
+    exchange = null;
+    idleSinceNanos = System.nanoTime();
+    channel.config().setAutoRead(true);
+    pool.release(this);
+  }
+
+  void idleLimit(Duration limit) {
+    idleLimitNanos = Math.max(0, limit.minus(IDLE_MARGIN).toNanos());
+  }
+
+  void close() {
+    spoiled = true;
+    exchange = null;
+    channel.close();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    try {
+      if (exchange == null) {
+        // Bytes after a whole answer belong to no request.
+        close();
+      } else {
+        exchange.received((HttpObject) message);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (exchange != null) {
+      exchange.readComplete();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    spoiled = true;
+    if (exchange != null) {
+      exchange.broken(cause.toString());
+    }
+    ctx.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    spoiled = true;
+    if (pool != null) {
+      pool.forget(this);
+    }
+    if (exchange != null) {
+      exchange.broken("closed by the upstream");
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamExchange.java
@@ -0,0 +1,172 @@
+package org.dandelionbeam.routing.wiring;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.dandelionbeam.base.Verdict;
+
+/** One request to an upstream and its answer. Lives on one event loop. */
+final class UpstreamExchange {
+  private static final int FIRST_FINAL_STATUS = 200;
+
+  /** What the exchange tells the request that it serves. */
+  interface Listener {
+    /** The head of the answer arrived. */
+    void head(HttpResponse head, HttpDialect.AnswerTerms terms);
+
+    /** A part of the body arrived; the listener must not keep the buffer without retaining it. */
+    void content(ByteBuf part);
+
+    /** The parts that were read together have all been passed on. */
+    void readComplete();
+
+    /** The answer is whole. */
+    void complete();
+
+    /** The exchange failed; nothing follows. */
+    void failed(Verdict verdict, String cause);
+  }
+
+  private final HttpDialect dialect;
+  private final FullHttpRequest request;
+  private final String requestId;
+  private final Listener listener;
+  private UpstreamConnection connection;
+  private ChannelFuture write;
+  private boolean over;
+  private boolean headSeen;
+  private boolean skipping;
+  private boolean keepAlive;
+
+  UpstreamExchange(
+      HttpDialect dialect, FullHttpRequest request, String requestId, Listener listener) {
+    this.dialect = requireNonNull(dialect, "dialect");
+    this.request = requireNonNull(request, "request");
+    this.requestId = requireNonNull(requestId, "requestId");
+    this.listener = requireNonNull(listener, "listener");
+  }
+
+  boolean isOver() {
+    return over;
+  }
+
+  void connected(UpstreamConnection newConnection) {
+    connection = newConnection;
+    connection.hold(this);
+    write = connection.channel().writeAndFlush(request);
+  }
+
+  void notConnected(Throwable cause) {
+    request.release();
+    if (!over) {
+      over = true;
+      listener.failed(Verdict.NOT_RUN, "no connection: " + cause);
+    }
+  }
+
+  /** Gives the exchange up; closing the connection tells the upstream to stop work. */
+  void abandon() {
+    if (!over) {
+      over = true;
+      if (connection != null) {
+        connection.close();
+      }
+    }
+  }
+
+  void reading(boolean wanted) {
+    if (!over && connection != null) {
+      connection.channel().config().setAutoRead(wanted);
+    }
+  }
+
+  void received(HttpObject part) {
+    if (over) {
+      return;
+    }
+    if (part.decoderResult().isFailure()) {
+      fail("not an HTTP answer: " + part.decoderResult().cause());
+      return;
+    }
+    if (part instanceof HttpResponse head) {
+      receivedHead(head);
+    }
+    if (part instanceof HttpContent content && !over) {
+      receivedContent(content);
+    }
+  }
+
+  private void receivedHead(HttpResponse head) {
+    HttpDialect.AnswerTerms terms = dialect.readAnswer(head);
+    boolean foreign = terms.requestId().isPresent() && !terms.requestId().get().equals(requestId);
+    skipping = foreign || head.status().code() < FIRST_FINAL_STATUS;
+    if (skipping) {
+      return;
+    }
+    headSeen = true;
+    keepAlive = HttpUtil.isKeepAlive(head) && isFramed(head);
+    terms.idleLimit().ifPresent(connection::idleLimit);
+    listener.head(head, terms);
+  }
+
+  private static boolean isFramed(HttpResponse head) {
+    return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
+  }
+
+  private void receivedContent(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    if (skipping) {
+      skipping = !last;
+      return;
+    }
+    if (!headSeen) {
+      return;
+    }
+    if (content.content().isReadable()) {
+      listener.content(content.content());
+    }
+    if (last && !over) {
+      finish();
+    }
+  }
+
+  private void finish() {
+    over = true;
+    UpstreamConnection finished = connection;
+    if (!keepAlive) {
+      finished.close();
+    } else if (write.isDone()) {
+      finished.free();
+    } else {
+      // The upstream answered early and still reads the rest of the body.
+      finished.hold(null);
+      write.addListener(done -> finished.free());
+    }
+    listener.complete();
+  }
+
+  void readComplete() {
+    if (!over && headSeen) {
+      listener.readComplete();
+    }
+  }
+
+  void broken(String cause) {
+    fail(cause);
+  }
+
+  private void fail(String cause) {
+    if (!over) {
+      over = true;
+      connection.close();
+      listener.failed(Verdict.MAY_HAVE_RUN, cause);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamPool.java
@@ -0,0 +1,125 @@
+package org.dandelionbeam.routing.wiring;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.dandelionbeam.routing.Endpoint;
+
+/** Connections to upstreams; each serves one exchange at a time. Lives on one event loop. */
+final class UpstreamPool {
+  /**
+   * A connection within a region takes a few milliseconds; a lost packet is sent again after 1 s.
+   */
+  private static final int CONNECT_TIMEOUT_MS = 450;
+
+  private static final int MAX_LINE_BYTES = 8_192;
+  private static final int MAX_HEADER_BYTES = 32_768;
+  private static final int MAX_CHUNK_BYTES = 16_384;
+
+  private final Bootstrap bootstrap;
+  private final Map<Endpoint, Deque<UpstreamConnection>> idle = new HashMap<>();
+  private long opened;
+
+  UpstreamPool(EventLoop loop, ByteBufAllocator allocator) {
+    bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(ChannelOption.ALLOCATOR, allocator)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .handler(new Pipeline());
+  }
+
+  /** Starts an exchange on an idle connection or on a new one. */
+  void start(Endpoint endpoint, UpstreamExchange exchange) {
+    requireNonNull(exchange, "exchange");
+    Deque<UpstreamConnection> kept = idle.get(endpoint);
+    while (kept != null && !kept.isEmpty()) {
+      UpstreamConnection connection = kept.pollLast();
+      if (connection.isUsable()) {
+        exchange.connected(connection);
+        return;
+      }
+      connection.close();
+    }
+    open(endpoint, exchange);
+  }
+
+  private void open(Endpoint endpoint, UpstreamExchange exchange) {
+    opened++;
+    ChannelFuture connecting = bootstrap.connect(endpoint.host(), endpoint.port());
+    connecting.addListener(
+        future -> {
+          if (!future.isSuccess()) {
+            exchange.notConnected(future.cause());
+            return;
+          }
+          Channel channel = connecting.channel();
+          UpstreamConnection connection = channel.pipeline().get(UpstreamConnection.class);
+          connection.belongsTo(this, endpoint);
+          if (exchange.isOver()) {
+            release(connection);
+          } else {
+            exchange.connected(connection);
+          }
+        });
+  }
+
+  /** Keeps a connection whose exchange ended in order. */
+  void release(UpstreamConnection connection) {
+    if (connection.isUsable()) {
+      idle.computeIfAbsent(connection.endpoint(), key -> new ArrayDeque<>()).addLast(connection);
+    } else {
+      connection.close();
+    }
+  }
+
+  /** Drops a connection that ended. */
+  void forget(UpstreamConnection connection) {
+    Deque<UpstreamConnection> kept = idle.get(connection.endpoint());
+    if (kept != null) {
+      kept.remove(connection);
+      if (kept.isEmpty()) {
+        idle.remove(connection.endpoint());
+      }
+    }
+  }
+
+  /** Counts the connections that were opened. */
+  long opened() {
+    return opened;
+  }
+
+  /** Handlers of a connection to an upstream. */
+  private static final class Pipeline extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel channel) {
+      HttpDecoderConfig config =
+          new HttpDecoderConfig()
+              .setMaxInitialLineLength(MAX_LINE_BYTES)
+              .setMaxHeaderSize(MAX_HEADER_BYTES)
+              .setMaxChunkSize(MAX_CHUNK_BYTES);
+      channel
+          .pipeline()
+          .addLast(new HttpRequestEncoder())
+          .addLast(new HttpResponseDecoder(config))
+          .addLast(new UpstreamConnection());
+    }
+  }
+}
