--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.dandelionbeam.base.FailureDomain;
 
@@ -15,8 +16,14 @@
  * the fewest requests. Not thread-safe.
  */
 final class Placement {
-  /** Reading a shared part again also costs the memory of a second copy. */
-  private static final double REREAD_FACTOR = 1.3;
+  /**
+   * Reading a shared part again takes an engine's time from all requests and fills its memory
+   * twice, so a request rather waits for the engine that holds the part.
+   */
+  private static final double REREAD_FACTOR = 5;
+
+  /** Makes all routers choose the same next engine when the preferred one has no room. */
+  private static final long RANK_TOKENS = 300;
 
   /** Tokens that the bytes of a request between failure domains are worth. */
   private static final long OTHER_DOMAIN_TOKENS = 200;
@@ -69,9 +76,9 @@
   Optional<Decision.Granted> choose(Ticket ticket, ServiceSpec spec, long nowNanos) {
     List<UpstreamInstance> open = candidates(ticket, nowNanos);
     Choice best = null;
-    int home = homeOf(ticket, spec);
+    Map<Integer, Integer> ranks = ranksOf(ticket, spec);
     for (UpstreamInstance instance : open) {
-      Choice choice = evaluate(ticket, spec, instance, home, nowNanos);
+      Choice choice = evaluate(ticket, spec, instance, ranks, nowNanos);
       if (choice.hasRoom && (best == null || choice.cost < best.cost)) {
         best = choice;
       }
@@ -79,19 +86,23 @@
     return Optional.ofNullable(best).map(choice -> choice.granted(ticket));
   }
 
-  private int homeOf(Ticket ticket, ServiceSpec spec) {
+  private Map<Integer, Integer> ranksOf(Ticket ticket, ServiceSpec spec) {
     if (spec.engine().isEmpty() || !ticket.shape().isModelRequest()) {
-      return 0;
+      return Map.of();
     }
     List<Integer> numbers = new ArrayList<>();
     for (UpstreamInstance instance : fleet.upstreams().usable(ticket.service())) {
       numbers.add(LoadBoard.numberOf(instance));
     }
-    return PromptCache.home(ticket.shape(), numbers);
+    return PromptCache.ranks(ticket.shape(), numbers);
   }
 
   private Choice evaluate(
-      Ticket ticket, ServiceSpec spec, UpstreamInstance instance, int home, long nowNanos) {
+      Ticket ticket,
+      ServiceSpec spec,
+      UpstreamInstance instance,
+      Map<Integer, Integer> ranks,
+      long nowNanos) {
     boolean cold = fleet.upstreams().isCold(instance.id(), nowNanos);
     boolean coldRoom =
         !cold
@@ -103,7 +114,8 @@
     UpstreamLoad load = fleet.loads().total(number, nowNanos);
     Choice choice =
         spec.engine().isPresent() && ticket.shape().isModelRequest()
-            ? engineChoice(ticket, spec.engine().get(), instance, load, number == home)
+            ? engineChoice(
+                ticket, spec.engine().get(), instance, load, ranks.getOrDefault(number, 1))
             : plainChoice(instance, load);
     choice.hasRoom &= coldRoom;
     if (!instance.domain().equals(here)) {
@@ -125,10 +137,13 @@
       ServiceSpec.EngineSpec engine,
       UpstreamInstance instance,
       UpstreamLoad load,
-      boolean home) {
+      int rank) {
     PromptShape shape = ticket.shape();
     int number = LoadBoard.numberOf(instance);
-    long held = Math.min(fleet.cache().heldTokens(shape, number, home), shape.promptTokens());
+    long held =
+        Math.min(
+            fleet.cache().heldTokens(shape, number, rank == 0, fleet.nowNanos()),
+            shape.promptTokens());
     long unread = shape.promptTokens() - held;
     long shared = sharedTokens(shape);
     long reread = Math.max(0, shared - held);
@@ -138,6 +153,7 @@
         load.unreadTokens()
             + unread
             + (REREAD_FACTOR - 1) * reread
+            + RANK_TOKENS * rank
             + ERROR_TOKENS * fleet.health().errorRate(instance.id());
     choice.otherDomainCost = OTHER_DOMAIN_TOKENS;
     choice.hasRoom =
--- a/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
@@ -1,8 +1,12 @@
 package org.dandelionbeam.routing;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -15,6 +19,9 @@
   /** Enough for all sessions of some minutes; the least recently used go first. */
   private static final int MAX_PARTS = 8_192;
 
+  /** An engine under load drops a part that was not used for some seconds. */
+  private static final Duration HOLD_TIME = Duration.ofSeconds(10);
+
   private static final float LOAD_FACTOR = 0.75f;
   private static final long MIX = 0xBF58476D1CE4E5B9L;
 
@@ -58,16 +65,16 @@
    * @param shape the prompt
    * @param engine number of the engine
    * @param home whether the engine is the preferred one of the prompt
+   * @param nowNanos monotonic time
    * @return tokens of the leading parts that it probably holds
    */
-  public long heldTokens(PromptShape shape, int engine, boolean home) {
+  public long heldTokens(PromptShape shape, int engine, boolean home, long nowNanos) {
     long held = 0;
     int last = shape.parts().size() - 1;
     for (int i = 0; i <= last; i++) {
       PromptShape.Part part = shape.parts().get(i);
-      Map<Integer, Long> known = holders.get(part.hash());
-      boolean holds = known != null && known.containsKey(engine);
-      if (!holds && !(home && i < last)) {
+      boolean preferred = home && i < last;
+      if (!preferred && !holds(part, engine, nowNanos)) {
         return held;
       }
       held += part.tokens();
@@ -75,29 +82,36 @@
     return held;
   }
 
+  private boolean holds(PromptShape.Part part, int engine, long nowNanos) {
+    Map<Integer, Long> known = holders.get(part.hash());
+    Long used = known == null ? null : known.get(engine);
+    return used != null && nowNanos - used < HOLD_TIME.toNanos();
+  }
+
   /**
-   * Returns the engine that all routers prefer for a prompt, by rendezvous hashing.
+   * Returns the order in which all routers prefer engines for a prompt, by rendezvous hashing.
    *
    * @param shape the prompt
    * @param engines numbers of the engines that may be chosen
-   * @return number of the engine, 0 if the prompt has no parts or there is no engine
+   * @return rank by engine, 0 for the first; empty if the prompt has no parts
    */
-  public static int home(PromptShape shape, Collection<Integer> engines) {
+  public static Map<Integer, Integer> ranks(PromptShape shape, Collection<Integer> engines) {
     if (shape.parts().isEmpty()) {
-      return 0;
+      return Map.of();
     }
     long hash = shape.parts().get(Math.min(1, shape.parts().size() - 1)).hash();
-    int best = 0;
-    long bestWeight = Long.MIN_VALUE;
-    for (int engine : engines) {
-      long weight = (hash ^ engine) * MIX;
-      weight ^= weight >>> Integer.SIZE;
-      weight *= MIX;
-      if (weight > bestWeight) {
-        bestWeight = weight;
-        best = engine;
-      }
+    List<Integer> order = new ArrayList<>(engines);
+    order.sort(Comparator.comparingLong(engine -> weight(hash, engine)));
+    Map<Integer, Integer> ranks = new HashMap<>();
+    for (int engine : order) {
+      ranks.put(engine, ranks.size());
     }
-    return best;
+    return ranks;
+  }
+
+  private static long weight(long hash, int engine) {
+    long mixed = (hash ^ engine) * MIX;
+    mixed ^= mixed >>> Integer.SIZE;
+    return mixed * MIX;
   }
 }
