Hold one short backlog at engines, wait for the one that holds the prompt

Change: 180 ms of backlog for all kinds; a request waits for its engine while it can be answered there in time, and is refused after 0.45 of the time that callers wait for a first output.

--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -40,11 +41,14 @@
   /** Part of an engine's memory that running requests may fill beside cached parts. */
   private static final double MEMORY_SHARE = 0.55;
 
-  /** Part of the objective that the wait for the first output may take. */
-  private static final double OBJECTIVE_SHARE = 0.8;
+  /**
+   * Longest backlog of an engine. It keeps the engine busy between the reports of the routers; more
+   * would only move the wait to where requests can't be ordered any more.
+   */
+  private static final long MAX_BACKLOG_NANOS = Duration.ofMillis(180).toNanos();
 
-  /** Part of the objective that a backlog may last for requests that can't meet it anyway. */
-  private static final double LATE_SHARE = 0.35;
+  /** Part of the objective that the wait for the first output may take; the rest is for the way. */
+  private static final double OBJECTIVE_SHARE = 0.8;
 
   private final FleetState fleet;
   private final FailureDomain here;
@@ -72,18 +76,30 @@
     return sound.isEmpty() ? untried : sound;
   }
 
-  /** Returns the upstream that should get the request now, empty if none has room. */
+  /**
+   * Returns the upstream that should get the request now, empty if the request should wait.
+   *
+   * <p>A request waits for the best upstream while it can be answered there in time. It goes to
+   * another one only if that one answers it in time.
+   */
   Optional<Decision.Granted> choose(Ticket ticket, ServiceSpec spec, long nowNanos) {
-    List<UpstreamInstance> open = candidates(ticket, nowNanos);
-    Choice best = null;
     Map<Integer, Integer> ranks = ranksOf(ticket, spec);
-    for (UpstreamInstance instance : open) {
+    Choice best = null;
+    Choice open = null;
+    for (UpstreamInstance instance : candidates(ticket, nowNanos)) {
       Choice choice = evaluate(ticket, spec, instance, ranks, nowNanos);
-      if (choice.hasRoom && (best == null || choice.cost < best.cost)) {
-        best = choice;
-      }
+      best = cheaper(best, choice);
+      open = choice.hasRoom ? cheaper(open, choice) : open;
     }
-    return Optional.ofNullable(best).map(choice -> choice.granted(ticket));
+    if (open == null || best == open) {
+      return Optional.ofNullable(open).map(choice -> choice.granted(ticket));
+    }
+    boolean waits = best.answersInTime || !open.answersInTime;
+    return waits ? Optional.empty() : Optional.of(open.granted(ticket));
+  }
+
+  private static Choice cheaper(Choice known, Choice other) {
+    return known == null || other.cost < known.cost ? other : known;
   }
 
   private Map<Integer, Integer> ranksOf(Ticket ticket, ServiceSpec spec) {
@@ -129,6 +145,7 @@
     choice.cost = load.inFlight() + ERROR_REQUESTS * fleet.health().errorRate(instance.id());
     choice.otherDomainCost = OTHER_DOMAIN_REQUESTS;
     choice.hasRoom = load.inFlight() < Math.max(1, instance.slots());
+    choice.answersInTime = choice.hasRoom;
     return choice;
   }
 
@@ -148,6 +165,8 @@
     long shared = sharedTokens(shape);
     long reread = Math.max(0, shared - held);
     long memory = shape.promptTokens() - Math.min(held, shared) + shape.outputTokens();
+    ReadRate rate = fleet.readRate(ticket.service());
+    long backlog = rate.nanosFor(load.unreadTokens());
     Choice choice = new Choice(instance, new UpstreamLoad(1, unread, memory), load.unreadTokens());
     choice.cost =
         load.unreadTokens()
@@ -160,8 +179,8 @@
         load.inFlight() < Math.max(1, engine.slots())
             && (load.inFlight() == 0
                 || load.memoryTokens() + memory < MEMORY_SHARE * engine.memoryTokens())
-            && fleet.readRate(ticket.service()).nanosFor(load.unreadTokens())
-                <= allowedWaitNanos(ticket, unread);
+            && backlog <= MAX_BACKLOG_NANOS;
+    choice.answersInTime = isInTime(ticket, backlog + rate.nanosFor(unread));
     return choice;
   }
 
@@ -174,12 +193,10 @@
     return sum;
   }
 
-  private long allowedWaitNanos(Ticket ticket, long unread) {
+  private boolean isInTime(Ticket ticket, long firstOutputNanos) {
     long objective = ticket.objectiveNanos() - ticket.arrivedNanos();
     long waited = fleet.nowNanos() - ticket.arrivedNanos();
-    long reading = fleet.readRate(ticket.service()).nanosFor(unread);
-    long left = (long) (OBJECTIVE_SHARE * objective) - waited - reading;
-    return Math.max(left, (long) (LATE_SHARE * objective));
+    return waited + firstOutputNanos <= OBJECTIVE_SHARE * objective;
   }
 
   /** An upstream with its cost for one request. */
@@ -190,6 +207,7 @@
     private double cost;
     private double otherDomainCost;
     private boolean hasRoom;
+    private boolean answersInTime;
 
     Choice(UpstreamInstance instance, UpstreamLoad work, long aheadTokens) {
       this.instance = instance;
--- a/library/src/main/java/org/dandelionbeam/routing/RouteRule.java
+++ b/library/src/main/java/org/dandelionbeam/routing/RouteRule.java
@@ -16,6 +16,7 @@
  * @param kind what may be repeated
  * @param timeout longest time that a caller is kept waiting
  * @param latencyObjective time within which an answer has its full value
+ * @param pauseObjective longest pause between the events of a stream; zero if there is none
  * @param targets services and their weights, at least one
  * @param maxAttempts most upstreams that one request may be sent to
  * @param anonymous whether callers need no key
@@ -28,10 +29,16 @@
     RouteKind kind,
     Duration timeout,
     Duration latencyObjective,
+    Duration pauseObjective,
     List<Target> targets,
     int maxAttempts,
     boolean anonymous,
     boolean resumable) {
+  /** Callers of streams leave after the longest of this time and of the two multiples below. */
+  private static final Duration MIN_FIRST_OUTPUT_PATIENCE = Duration.ofSeconds(2);
+
+  private static final int PATIENCE_IN_OBJECTIVES = 4;
+  private static final int PATIENCE_IN_PAUSES = 8;
 
   /** Checks and copies the values. */
   public RouteRule {
@@ -41,6 +48,7 @@
     requireNonNull(kind, "kind");
     requireNonNull(timeout, "timeout");
     requireNonNull(latencyObjective, "latencyObjective");
+    requireNonNull(pauseObjective, "pauseObjective");
     targets = List.copyOf(targets);
     if (targets.isEmpty()) {
       throw new IllegalArgumentException("route " + name + " names no service");
@@ -74,6 +82,19 @@
     return kind.isIdempotent(resumable);
   }
 
+  /**
+   * Returns how long callers wait for the first output of a stream before they leave.
+   *
+   * @return the longest of a fixed time and of multiples of both objectives
+   */
+  public Duration firstOutputPatience() {
+    Duration longest = MIN_FIRST_OUTPUT_PATIENCE;
+    Duration byLatency = latencyObjective.multipliedBy(PATIENCE_IN_OBJECTIVES);
+    Duration byPause = pauseObjective.multipliedBy(PATIENCE_IN_PAUSES);
+    longest = byLatency.compareTo(longest) > 0 ? byLatency : longest;
+    return byPause.compareTo(longest) > 0 ? byPause : longest;
+  }
+
   /**
    * Draws a service by the weights.
    *
@@ -104,6 +125,7 @@
     private RouteKind kind = RouteKind.NON_IDEMPOTENT;
     private Duration timeout = Duration.ofSeconds(30);
     private Duration latencyObjective = Duration.ofSeconds(1);
+    private Duration pauseObjective = Duration.ZERO;
     private int maxAttempts = 1;
     private boolean anonymous;
     private boolean resumable;
@@ -151,6 +173,17 @@
       return this;
     }
 
+    /**
+     * Sets the longest pause between the events of a stream.
+     *
+     * @param newPause the pause
+     * @return this builder
+     */
+    public Builder pauseObjective(Duration newPause) {
+      pauseObjective = newPause;
+      return this;
+    }
+
     /**
      * Adds a service.
      *
@@ -199,6 +232,7 @@
           kind,
           timeout,
           latencyObjective,
+          pauseObjective,
           targets,
           maxAttempts,
           anonymous,
--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -19,8 +19,8 @@
  * known. Not thread-safe.
  */
 public final class Scheduler {
-  /** Part of a caller's time that a request may wait here before it is given up. */
-  private static final double MAX_WAIT_SHARE = 0.4;
+  /** Part of a caller's patience that a request may wait here; the rest is for its upstream. */
+  private static final double MAX_WAIT_SHARE = 0.45;
 
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(2);
@@ -60,19 +60,25 @@
       return refused(ticket, Decision.RefusalReason.NO_UPSTREAM);
     }
     List<Ticket> queue = waiting.computeIfAbsent(ticket.service(), key -> new ArrayList<>());
-    if (queue.isEmpty()) {
+    List<Ticket> before = aheadOf(ticket, queue);
+    if (before.isEmpty()) {
       Optional<Decision.Granted> granted = place(ticket, spec.get());
       if (granted.isPresent()) {
         return granted.get();
       }
     }
-    if (predictedWaitNanos(ticket, spec.get()) > maxWaitNanos(ticket)) {
+    if (waitNanos(before, ticket.service(), spec.get()) > maxWaitNanos(ticket)) {
       return refused(ticket, Decision.RefusalReason.OVERLOADED);
     }
     queue.add(ticket);
     return new Decision.Waiting(ticket);
   }
 
+  private List<Ticket> aheadOf(Ticket ticket, List<Ticket> queue) {
+    Comparator<Ticket> order = order();
+    return queue.stream().filter(other -> order.compare(other, ticket) < 0).toList();
+  }
+
   /**
    * Decides again on the requests that wait.
    *
@@ -109,13 +115,25 @@
   }
 
   private List<Ticket> inOrder(List<Ticket> queue) {
+    List<Ticket> sorted = new ArrayList<>(queue);
+    sorted.sort(order());
+    return sorted;
+  }
+
+  private Comparator<Ticket> order() {
     long now = fleet.nowNanos();
-    List<Ticket> order = new ArrayList<>(queue);
-    order.sort(
-        Comparator.comparing((Ticket ticket) -> ticket.objectiveNanos() - now < 0)
-            .thenComparingDouble(ticket -> fleet.usage().of(ticket.team(), now))
-            .thenComparingLong(Ticket::arrivedNanos));
-    return order;
+    return Comparator.comparing((Ticket ticket) -> isTooLate(ticket, now))
+        .thenComparingDouble(ticket -> fleet.usage().of(ticket.team(), now))
+        .thenComparingLong(Ticket::arrivedNanos);
+  }
+
+  /** Tells whether the request would miss its objective even if an engine took it at once. */
+  private boolean isTooLate(Ticket ticket, long now) {
+    long reading =
+        ticket.shape().isModelRequest()
+            ? fleet.readRate(ticket.service()).nanosFor(ticket.shape().promptTokens() / 2)
+            : 0;
+    return ticket.objectiveNanos() - reading - now < 0;
   }
 
   private Optional<Decision.Granted> place(Ticket ticket, ServiceSpec spec) {
@@ -186,27 +204,32 @@
   }
 
   private Decision.Refused refused(Ticket ticket, Decision.RefusalReason reason) {
+    List<Ticket> queue = waiting.getOrDefault(ticket.service(), List.of());
     Duration wait =
         specOf(ticket.service())
-            .map(spec -> Duration.ofNanos(predictedWaitNanos(ticket, spec)))
+            .map(spec -> Duration.ofNanos(waitNanos(queue, ticket.service(), spec)))
             .orElse(MIN_RETRY_AFTER);
     Duration atLeast = wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait;
     Duration bounded = atLeast.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : atLeast;
     return new Decision.Refused(ticket, reason, bounded);
   }
 
-  /** Time until the requests that wait here have been served, with even shares of the routers. */
-  private long predictedWaitNanos(Ticket ticket, ServiceSpec spec) {
-    List<Ticket> queue = waiting.getOrDefault(ticket.service(), List.of());
-    int upstreams = Math.max(1, fleet.upstreams().usable(ticket.service()).size());
-    double share = upstreams / (double) fleet.routerCount();
+  /** Time until some requests that wait here have been served, with even shares of the routers. */
+  private long waitNanos(List<Ticket> queue, ServiceName service, ServiceSpec spec) {
+    int routers = fleet.routerCount();
     if (spec.engine().isEmpty()) {
-      int slots = Math.max(1, slotsOf(ticket.service()));
-      double perRouter = slots / (double) fleet.routerCount();
-      return (long) (queue.size() * PLAIN_SERVICE_TIME.toNanos() / perRouter);
+      double slots = Math.max(1, slotsOf(service)) / (double) routers;
+      return (long) (queue.size() * PLAIN_SERVICE_TIME.toNanos() / slots);
     }
-    long tokens = queue.stream().mapToLong(other -> other.shape().promptTokens()).sum() / 2;
-    return (long) (fleet.readRate(ticket.service()).nanosFor(tokens) / share);
+    double engines = Math.max(1, fleet.upstreams().usable(service).size()) / (double) routers;
+    long tokens = queue.stream().mapToLong(Scheduler::unsharedTokens).sum();
+    return (long) (fleet.readRate(service).nanosFor(tokens) / engines);
+  }
+
+  /** Tokens of the last part; those before it are mostly held already. */
+  private static long unsharedTokens(Ticket ticket) {
+    List<PromptShape.Part> parts = ticket.shape().parts();
+    return parts.isEmpty() ? ticket.shape().promptTokens() : parts.get(parts.size() - 1).tokens();
   }
 
   private int slotsOf(ServiceName service) {
@@ -214,7 +237,7 @@
   }
 
   private static long maxWaitNanos(Ticket ticket) {
-    return (long) (MAX_WAIT_SHARE * (ticket.deadlineNanos() - ticket.arrivedNanos()));
+    return (long) (MAX_WAIT_SHARE * ticket.patienceNanos());
   }
 
   private Optional<ServiceSpec> specOf(ServiceName name) {
--- a/library/src/main/java/org/dandelionbeam/routing/Ticket.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Ticket.java
@@ -14,6 +14,7 @@
   private final long arrivedNanos;
   private final long objectiveNanos;
   private final long deadlineNanos;
+  private final long patienceNanos;
   private final Set<InstanceId> excluded = new HashSet<>();
 
   private Ticket(Builder builder) {
@@ -24,6 +25,7 @@
     arrivedNanos = builder.arrivedNanos;
     objectiveNanos = builder.objectiveNanos;
     deadlineNanos = builder.deadlineNanos;
+    patienceNanos = Math.min(builder.patienceNanos, builder.deadlineNanos - builder.arrivedNanos);
   }
 
   /**
@@ -99,6 +101,15 @@
     return deadlineNanos;
   }
 
+  /**
+   * Returns how long the caller waits for the first output.
+   *
+   * @return time from the arrival, at most up to the deadline
+   */
+  public long patienceNanos() {
+    return patienceNanos;
+  }
+
   /**
    * Excludes an upstream that did not run the request.
    *
@@ -127,6 +138,7 @@
     private long arrivedNanos;
     private long objectiveNanos;
     private long deadlineNanos;
+    private long patienceNanos = Long.MAX_VALUE;
 
     private Builder(long number) {
       this.number = number;
@@ -162,6 +174,17 @@
       return this;
     }
 
+    /**
+     * Sets how long the caller waits for the first output.
+     *
+     * @param newPatience time from the arrival
+     * @return this builder
+     */
+    public Builder patience(long newPatience) {
+      patienceNanos = newPatience;
+      return this;
+    }
+
     /**
      * Makes the ticket.
      *
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -71,6 +71,8 @@
   private int connectFailures;
   private long sentNanos;
   private boolean outputSeen;
+  private long firstOutputNanos;
+  private int parts;
   private HttpResponse answerHead;
   private boolean rejected;
   private boolean relaying;
@@ -128,8 +130,10 @@
     long patience =
         Math.min(route.timeout().toNanos(), terms.patience().orElse(DEFAULT_PATIENCE).toNanos());
     long objective = Math.min(route.latencyObjective().toNanos(), patience);
+    boolean streams = route.kind() == RouteKind.STREAMING;
     ticket =
         Ticket.builder(router.nextTicket())
+            .patience(streams ? route.firstOutputPatience().toNanos() : patience)
             .request(route.pick(router::random), team.orElse(NO_TEAM), terms.shape())
             .times(arrivedNanos, arrivedNanos + objective, arrivedNanos + patience)
             .build();
@@ -214,6 +218,7 @@
       return;
     }
     noteOutput();
+    parts++;
     boolean streams =
         route.kind() == RouteKind.STREAMING && answerHead.status().code() < FIRST_ERROR;
     if (relaying) {
@@ -233,6 +238,7 @@
   private void noteOutput() {
     if (!outputSeen) {
       outputSeen = true;
+      firstOutputNanos = router.now();
       Duration elapsed = Duration.ofNanos(router.now() - sentNanos);
       router.scheduler().firstOutput(grant, elapsed);
       trace.step("first_output", "status=" + answerHead.status().code(), router.now());
@@ -495,7 +501,17 @@
     router.metrics().request(kind, team.orElse(NO_TEAM).text(), status, now - arrivedNanos);
     boolean bad = status == 0 || status >= FIRST_ERROR;
     if (bad || router.drawSample()) {
-      trace.step("finished", "status=" + status + " runs=" + runs, now);
+      trace.step(
+          "finished",
+          "status="
+              + status
+              + " runs="
+              + runs
+              + " parts="
+              + parts
+              + " stream_ms="
+              + (outputSeen ? (now - firstOutputNanos) / 1_000_000 : 0),
+          now);
       trace.write(router.log(), terms == null ? "none" : terms.requestId());
     }
   }
