Let teams above the mean stop at a shorter backlog

Change: a team above the mean service of the last seconds may use 1/x of the backlog (a quarter at least), and comes after all others above 1.3.

--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -47,6 +47,9 @@
    */
   private static final long MAX_BACKLOG_NANOS = Duration.ofMillis(180).toNanos();
 
+  /** Part of the longest backlog that a team may use however much it got; engines stay busy. */
+  private static final double MIN_BACKLOG_SHARE = 0.25;
+
   /** Part of the objective that the wait for the first output may take; the rest is for the way. */
   private static final double OBJECTIVE_SHARE = 0.8;
 
@@ -179,7 +182,7 @@
         load.inFlight() < Math.max(1, engine.slots())
             && (load.inFlight() == 0
                 || load.memoryTokens() + memory < MEMORY_SHARE * engine.memoryTokens())
-            && backlog <= MAX_BACKLOG_NANOS;
+            && backlog <= allowedBacklogNanos(ticket.team());
     choice.answersInTime = isInTime(ticket, backlog + rate.nanosFor(unread));
     return choice;
   }
@@ -193,6 +196,18 @@
     return sum;
   }
 
+  /**
+   * Returns the backlog up to which a team's requests go to an engine.
+   *
+   * <p>Routers can't order each other's requests. Teams that got more than the mean stop earlier,
+   * so the room above is left to the others at whichever router they are.
+   */
+  private long allowedBacklogNanos(TeamName team) {
+    double relative = fleet.usage().relative(team, fleet.nowNanos());
+    double share = relative <= 1 ? 1 : Math.max(MIN_BACKLOG_SHARE, 1 / relative);
+    return (long) (MAX_BACKLOG_NANOS * share);
+  }
+
   private boolean isInTime(Ticket ticket, long firstOutputNanos) {
     long objective = ticket.objectiveNanos() - ticket.arrivedNanos();
     long waited = fleet.nowNanos() - ticket.arrivedNanos();
--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -22,6 +22,9 @@
   /** Part of a caller's patience that a request may wait here; the rest is for its upstream. */
   private static final double MAX_WAIT_SHARE = 0.45;
 
+  /** Service against the mean of all teams above which a team comes after all others. */
+  private static final double CLEAR_EXCESS = 1.3;
+
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(2);
 
@@ -122,11 +125,16 @@
 
   private Comparator<Ticket> order() {
     long now = fleet.nowNanos();
-    return Comparator.comparing((Ticket ticket) -> isTooLate(ticket, now))
+    return Comparator.comparing((Ticket ticket) -> hasMoreThanItsShare(ticket, now))
+        .thenComparing(ticket -> isTooLate(ticket, now))
         .thenComparingDouble(ticket -> fleet.usage().of(ticket.team(), now))
         .thenComparingLong(Ticket::arrivedNanos);
   }
 
+  private boolean hasMoreThanItsShare(Ticket ticket, long now) {
+    return fleet.usage().relative(ticket.team(), now) > CLEAR_EXCESS;
+  }
+
   /** Tells whether the request would miss its objective even if an engine took it at once. */
   private boolean isTooLate(Ticket ticket, long now) {
     long reading =
--- a/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
+++ b/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
@@ -15,9 +15,15 @@
 
   private static final Duration PEER_REPORT_LIFETIME = Duration.ofSeconds(2);
 
+  /** The mean changes slowly against the time between two decisions. */
+  private static final Duration MEAN_LIFETIME = Duration.ofMillis(50);
+
   private final Map<Integer, Faded> own = new HashMap<>();
   private final Map<RouterName, Report> peers = new HashMap<>();
 
+  private double mean;
+  private long meanAtNanos;
+
   private TeamUsage() {}
 
   /**
@@ -71,6 +77,32 @@
     return sum;
   }
 
+  /**
+   * Compares the service of a team with the mean of all teams that got some lately.
+   *
+   * @param team the team
+   * @param nowNanos monotonic time
+   * @return 1 for a team that got the mean; 0 if no team got any
+   */
+  public double relative(TeamName team, long nowNanos) {
+    if (nowNanos - meanAtNanos > MEAN_LIFETIME.toNanos() || meanAtNanos == 0) {
+      mean = computeMean(nowNanos);
+      meanAtNanos = nowNanos;
+    }
+    return mean <= 0 ? 0 : of(team, nowNanos) / mean;
+  }
+
+  private double computeMean(long nowNanos) {
+    Map<Integer, Double> all = new HashMap<>();
+    own.forEach((team, faded) -> all.merge(team, faded.at(nowNanos), Double::sum));
+    for (Report report : peers.values()) {
+      if (nowNanos - report.atNanos < PEER_REPORT_LIFETIME.toNanos()) {
+        report.service.forEach((team, service) -> all.merge(team, service, Double::sum));
+      }
+    }
+    return all.values().stream().mapToDouble(Double::doubleValue).average().orElse(0);
+  }
+
   /**
    * Returns the service given here, to report it.
    *
