Report changed work at once; test the heaviest loads without network

Change: a change of own work is reported at once, and a peer's report no longer starts a round of decisions. The same tests found that a removed entry was never dropped at once (overflow of an unset time), and that one lost answer made a router avoid an engine.

--- a/library/src/main/java/org/dandelionbeam/routing/LoadBoard.java
+++ b/library/src/main/java/org/dandelionbeam/routing/LoadBoard.java
@@ -4,7 +4,9 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What this router has in flight at each upstream, and what its peers said they have.
@@ -16,6 +18,7 @@
   private static final Duration PEER_REPORT_LIFETIME = Duration.ofMillis(700);
 
   private final Map<Integer, UpstreamLoad> own = new HashMap<>();
+  private final Set<Integer> changed = new HashSet<>();
   private final Map<RouterName, Report> peers = new HashMap<>();
 
   private LoadBoard() {}
@@ -47,6 +50,7 @@
    */
   public void add(int upstream, UpstreamLoad work) {
     own.merge(upstream, work, UpstreamLoad::plus);
+    changed.add(upstream);
   }
 
   /**
@@ -56,6 +60,7 @@
    * @param work the work that is done
    */
   public void subtract(int upstream, UpstreamLoad work) {
+    changed.add(upstream);
     UpstreamLoad negative =
         new UpstreamLoad(-work.inFlight(), -work.unreadTokens(), -work.memoryTokens());
     UpstreamLoad left = own.getOrDefault(upstream, UpstreamLoad.NONE).plus(negative);
@@ -77,6 +82,33 @@
     peers.put(requireNonNull(peer, "peer"), new Report(Map.copyOf(loads), nowNanos));
   }
 
+  /**
+   * Takes what changed at a peer since its last report.
+   *
+   * @param peer the peer
+   * @param changes its work at the upstreams where it changed
+   * @param nowNanos monotonic time
+   */
+  public void heardChanges(RouterName peer, Map<Integer, UpstreamLoad> changes, long nowNanos) {
+    Report known = peers.get(requireNonNull(peer, "peer"));
+    Map<Integer, UpstreamLoad> loads = known == null ? new HashMap<>() : new HashMap<>(known.loads);
+    loads.putAll(changes);
+    peers.put(peer, new Report(Map.copyOf(loads), nowNanos));
+  }
+
+  /**
+   * Returns the own work that changed since the last call, to report it at once.
+   *
+   * @return work by upstream, {@link UpstreamLoad#NONE} where nothing is left
+   */
+  public Map<Integer, UpstreamLoad> takeChanges() {
+    Map<Integer, UpstreamLoad> changes = new HashMap<>();
+    changed.forEach(
+        upstream -> changes.put(upstream, own.getOrDefault(upstream, UpstreamLoad.NONE)));
+    changed.clear();
+    return changes;
+  }
+
   /**
    * Returns the work of all routers at an upstream.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -128,7 +128,8 @@
     return Comparator.comparing((Ticket ticket) -> hasMoreThanItsShare(ticket, now))
         .thenComparing(ticket -> isTooLate(ticket, now))
         .thenComparingDouble(ticket -> fleet.usage().of(ticket.team(), now))
-        .thenComparingLong(Ticket::arrivedNanos);
+        .thenComparingLong(Ticket::arrivedNanos)
+        .thenComparingLong(Ticket::number);
   }
 
   private boolean hasMoreThanItsShare(Ticket ticket, long now) {
--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
@@ -27,7 +27,8 @@
 
   private final Map<InstanceId, Tracked> tracked = new HashMap<>();
   private final Set<FailureDomain> evacuated = new HashSet<>();
-  private long disturbedUntilNanos = Long.MIN_VALUE;
+  private long disturbedUntilNanos;
+  private boolean disturbed;
 
   private UpstreamDirectory() {}
 
@@ -72,7 +73,7 @@
     if (known == null) {
       return;
     }
-    if (nowNanos - disturbedUntilNanos < 0 && !known.instance.draining()) {
+    if (disturbed && nowNanos - disturbedUntilNanos < 0 && !known.instance.draining()) {
       long grace = Math.min(REMOVAL_GRACE.toNanos(), disturbedUntilNanos - nowNanos);
       known.removedAtNanos = Math.min(known.removedAtNanos, nowNanos + grace);
     } else {
@@ -103,6 +104,7 @@
    * @param nowNanos monotonic time
    */
   public void storeDisturbed(long nowNanos) {
+    disturbed = true;
     disturbedUntilNanos = nowNanos + LAPSE_GRACE.toNanos();
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamHealth.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamHealth.java
@@ -10,8 +10,12 @@
   private static final Duration FIRST_AVOIDANCE = Duration.ofMillis(500);
 
   private static final Duration MAX_AVOIDANCE = Duration.ofSeconds(4);
+  private static final int MAX_DOUBLINGS = 3;
   private static final double ERROR_WEIGHT = 0.15;
 
+  /** Broken exchanges without any output between, after which an upstream is taken for down. */
+  private static final int FAILURES_BEFORE_AVOIDANCE = 2;
+
   private final Map<InstanceId, State> states = new HashMap<>();
 
   private UpstreamHealth() {}
@@ -36,10 +40,38 @@
     state.errorRate += ERROR_WEIGHT * ((good ? 0 : 1) - state.errorRate);
     state.avoidUntilNanos = Long.MIN_VALUE;
     state.failures = 0;
+    state.avoidances = 0;
+  }
+
+  /**
+   * Notes output of an upstream: it lives, whatever becomes of the answer.
+   *
+   * @param id the upstream
+   */
+  public void reached(InstanceId id) {
+    State state = states.get(id);
+    if (state != null) {
+      state.failures = 0;
+    }
   }
 
   /**
-   * Notes that an upstream could not be reached or broke off.
+   * Notes that an upstream refused a connection or is not the one that was meant.
+   *
+   * @param id the upstream
+   * @param nowNanos monotonic time
+   */
+  public void unreachable(InstanceId id, long nowNanos) {
+    State state = states.computeIfAbsent(id, key -> new State());
+    state.failures = Math.max(state.failures, FAILURES_BEFORE_AVOIDANCE);
+    avoid(state, nowNanos);
+  }
+
+  /**
+   * Notes that an upstream broke an exchange off.
+   *
+   * <p>A single one may be the loss of one answer, and to avoid the upstream for it would move its
+   * prompts to others.
    *
    * @param id the upstream
    * @param nowNanos monotonic time
@@ -47,8 +79,16 @@
   public void broken(InstanceId id, long nowNanos) {
     State state = states.computeIfAbsent(id, key -> new State());
     state.errorRate += ERROR_WEIGHT * (1 - state.errorRate);
-    long avoidance = FIRST_AVOIDANCE.toNanos() << Math.min(state.failures, 3);
     state.failures++;
+    if (state.failures >= FAILURES_BEFORE_AVOIDANCE) {
+      avoid(state, nowNanos);
+    }
+  }
+
+  private static void avoid(State state, long nowNanos) {
+    int repeats = Math.min(state.avoidances, MAX_DOUBLINGS);
+    long avoidance = FIRST_AVOIDANCE.toNanos() << repeats;
+    state.avoidances++;
     state.avoidUntilNanos = nowNanos + Math.min(avoidance, MAX_AVOIDANCE.toNanos());
   }
 
@@ -61,7 +101,7 @@
    */
   public boolean isAvoided(InstanceId id, long nowNanos) {
     State state = states.get(id);
-    return state != null && nowNanos - state.avoidUntilNanos < 0 && state.failures > 0;
+    return state != null && state.avoidances > 0 && nowNanos - state.avoidUntilNanos < 0;
   }
 
   /**
@@ -88,6 +128,7 @@
   private static final class State {
     private double errorRate;
     private int failures;
+    private int avoidances;
     private long avoidUntilNanos = Long.MIN_VALUE;
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -24,11 +24,11 @@
  * peers. Everything runs on one event loop, and its methods must be called there.
  */
 public final class FleetRouter {
-  /** Peers choose upstreams by these reports, so they must be younger than a request's reading. */
-  private static final Duration REPORT_INTERVAL = Duration.ofMillis(50);
+  /** Changes are reported at once; whole reports repair what was lost on the way. */
+  private static final Duration REPORT_INTERVAL = Duration.ofMillis(100);
 
-  /** Requests that wait are looked at again at least so often. */
-  private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
+  /** Requests that wait are looked at again so often, at a moment that differs by router. */
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(12);
 
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
@@ -85,6 +85,7 @@
             .syncUninterruptibly()
             .channel();
     peers.bind(context.fleet().members().self().peers());
+    context.onLoadChange(() -> peers.reportChanges(isReady()));
     every(REPORT_INTERVAL, () -> peers.report(isReady()));
     every(POLL_INTERVAL, context::poll);
     every(SWEEP_INTERVAL, this::sweep);
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
@@ -16,6 +16,7 @@
 import org.dandelionbeam.routing.FleetMembers.Member;
 import org.dandelionbeam.routing.FleetState;
 import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.UpstreamLoad;
 
 /** Exchanges reports between routers by datagrams; a lost one is followed by the next. */
 final class PeerLink {
@@ -40,24 +41,38 @@
     channel = bootstrap.bind(endpoint.host(), endpoint.port()).channel();
   }
 
-  /** Sends a report to all known routers. */
+  /** Sends a report of all work to all known routers. */
   void report(boolean serving) {
-    if (channel == null || !channel.isActive()) {
-      return;
-    }
     FleetState fleet = router.fleet();
     long now = router.tick();
     boolean withService = sequence % SERVICE_EVERY == 0;
     sequence++;
-    PeerReport report =
+    fleet.loads().takeChanges();
+    send(
         new PeerReport(
             fleet.members().self(),
             serving,
+            true,
             fleet.loads().own(),
-            withService ? fleet.usage().own(now) : Map.of());
+            withService ? fleet.usage().own(now) : Map.of()));
+  }
+
+  /** Sends what changed since the last report, so that peers don't take the same room. */
+  void reportChanges(boolean serving) {
+    FleetState fleet = router.fleet();
+    Map<Integer, UpstreamLoad> changes = fleet.loads().takeChanges();
+    if (!changes.isEmpty()) {
+      send(new PeerReport(fleet.members().self(), serving, false, changes, Map.of()));
+    }
+  }
+
+  private void send(PeerReport report) {
+    if (channel == null || !channel.isActive()) {
+      return;
+    }
     try {
       byte[] bytes = report.encode();
-      for (Member peer : fleet.members().peers()) {
+      for (Member peer : router.fleet().members().peers()) {
         InetSocketAddress address = new InetSocketAddress(peer.peers().host(), peer.peers().port());
         channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
       }
@@ -74,11 +89,14 @@
       RouterName name = report.sender().name();
       FleetState fleet = router.fleet();
       fleet.members().heard(report.sender(), report.serving(), now);
-      fleet.loads().heard(name, report.loads(), now);
+      if (report.whole()) {
+        fleet.loads().heard(name, report.loads(), now);
+      } else {
+        fleet.loads().heardChanges(name, report.loads(), now);
+      }
       if (!report.service().isEmpty()) {
         fleet.usage().heard(name, report.service(), now);
       }
-      router.pollSoon();
     } catch (IOException e) {
       router.log().line("report_unreadable").with("cause", e.getMessage()).write();
     }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/PeerReport.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerReport.java
@@ -18,15 +18,17 @@
  *
  * @param sender the router
  * @param serving whether it takes requests
+ * @param whole whether all its work follows, not only where it changed
  * @param loads its work in flight by number of the upstream
  * @param service faded service that it gave, by number of the team
  */
 record PeerReport(
     Member sender,
     boolean serving,
+    boolean whole,
     Map<Integer, UpstreamLoad> loads,
     Map<Integer, Double> service) {
-  private static final int FORMAT = 1;
+  private static final int FORMAT = 2;
 
   /** Returns the report as MessagePack. */
   byte[] encode() throws IOException {
@@ -38,6 +40,7 @@
       packer.packString(sender.domain().name());
       packer.packLong(sender.incarnation());
       packer.packBoolean(serving);
+      packer.packBoolean(whole);
       packer.packMapHeader(loads.size());
       for (Map.Entry<Integer, UpstreamLoad> entry : loads.entrySet()) {
         packer.packInt(entry.getKey());
@@ -73,7 +76,8 @@
               FailureDomain.of(unpacker.unpackString()),
               unpacker.unpackLong());
       boolean serving = unpacker.unpackBoolean();
-      return new PeerReport(sender, serving, loads(unpacker), service(unpacker));
+      boolean whole = unpacker.unpackBoolean();
+      return new PeerReport(sender, serving, whole, loads(unpacker), service(unpacker));
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("not a report", e);
     }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -160,6 +160,7 @@
 
   private void send(Decision.Granted granted) {
     grant = granted;
+    router.loadChanged();
     long now = router.tick();
     int number = LoadBoard.numberOf(granted.instance());
     trace.granted(granted, router.fleet().loads().total(number, now).inFlight(), now);
@@ -239,8 +240,10 @@
     if (!outputSeen) {
       outputSeen = true;
       firstOutputNanos = router.now();
+      router.fleet().health().reached(id());
       Duration elapsed = Duration.ofNanos(router.now() - sentNanos);
       router.scheduler().firstOutput(grant, elapsed);
+      router.loadChanged();
       trace.step("first_output", "status=" + answerHead.status().code(), router.now());
       router.pollSoon();
     }
@@ -324,7 +327,7 @@
     trace.step("rejected", "status=" + status + " upstream=" + id(), router.now());
     router.metrics().count("upstream_rejections", "status", Integer.toString(status));
     if (misdirected) {
-      router.fleet().health().broken(id(), router.now());
+      router.fleet().health().unreachable(id(), router.now());
     }
     ticket.exclude(id());
     endGrant();
@@ -343,7 +346,11 @@
     }
     trace.step("broken", "upstream=" + id() + " verdict=" + failure + " " + cause, router.now());
     router.metrics().count("upstream_failures", "verdict", failure.name());
-    router.fleet().health().broken(id(), router.now());
+    if (failure == Verdict.NOT_RUN) {
+      router.fleet().health().unreachable(id(), router.now());
+    } else {
+      router.fleet().health().broken(id(), router.now());
+    }
     ticket.exclude(id());
     endGrant();
     dropBuffered();
@@ -448,6 +455,7 @@
   private void endGrant() {
     if (grant != null) {
       router.scheduler().finished(grant, outputSeen);
+      router.loadChanged();
       router.pollSoon();
     }
     exchange = null;
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -32,6 +32,8 @@
   private final Set<CallerSession> sessions = new HashSet<>();
   private long tickets;
   private boolean pollPending;
+  private boolean reportPending;
+  private Runnable reporter = () -> {};
   private boolean leaving;
 
   RouterContext(
@@ -118,6 +120,23 @@
     leaving = true;
   }
 
+  /** Sets what tells the peers of changed work. */
+  void onLoadChange(Runnable newReporter) {
+    reporter = newReporter;
+  }
+
+  /** Lets the peers know of changed work once the events at hand are handled. */
+  void loadChanged() {
+    if (!reportPending) {
+      reportPending = true;
+      loop.execute(
+          () -> {
+            reportPending = false;
+            reporter.run();
+          });
+    }
+  }
+
   /** Keeps a request until the scheduler decides on it. */
   void await(long ticket, RequestTask task) {
     waiting.put(ticket, task);
--- /dev/null
+++ b/library/src/test/java/org/dandelionbeam/routing/FleetBeliefsTest.java
@@ -0,0 +1,129 @@
+package org.dandelionbeam.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dandelionbeam.base.FailureDomain;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class FleetBeliefsTest {
+  private static final long MS = 1_000_000L;
+  private static final FailureDomain DOMAIN = FailureDomain.of("a");
+  private static final InstanceId ID = InstanceId.of("one");
+
+  private static FleetMembers.Member member(String name, long incarnation) {
+    Endpoint endpoint = new Endpoint("10.0.0." + name, 80);
+    return new FleetMembers.Member(RouterName.of(name), endpoint, endpoint, DOMAIN, incarnation);
+  }
+
+  @Test
+  public void onlyRoutersThatWereHeardAreNamedToCallers() {
+    FleetMembers members = FleetMembers.of(member("1", 1));
+    members.listed(List.of(member("1", 1), member("2", 1), member("3", 1)));
+    members.heard(member("2", 1), true, 0);
+    members.heard(member("3", 1), false, 0);
+
+    assertEquals(
+        members.serving(true, 500 * MS),
+        List.of(new Endpoint("10.0.0.1", 80), new Endpoint("10.0.0.2", 80)));
+    assertEquals(members.serving(true, 2_000 * MS), List.of(new Endpoint("10.0.0.1", 80)));
+    assertEquals(members.sharers(2_000 * MS), 3);
+  }
+
+  @Test
+  public void reportOfAnEarlierStartDoesNotCount() {
+    FleetMembers members = FleetMembers.of(member("1", 1));
+    members.heard(member("2", 5), true, 0);
+    members.heard(member("2", 4), false, MS);
+
+    assertEquals(members.serving(false, 2 * MS).size(), 1);
+  }
+
+  @Test
+  public void routerThatKnowsNoListSharesWithAFewUnknownOnes() {
+    assertEquals(FleetMembers.of(member("1", 1)).sharers(0), 3);
+  }
+
+  @Test
+  public void singleLostAnswerDoesNotMoveWorkAway() {
+    UpstreamHealth health = UpstreamHealth.create();
+    health.broken(ID, 0);
+    assertFalse(health.isAvoided(ID, MS));
+
+    health.reached(ID);
+    health.broken(ID, 2 * MS);
+    assertFalse(health.isAvoided(ID, 3 * MS));
+
+    health.broken(ID, 4 * MS);
+    assertTrue(health.isAvoided(ID, 5 * MS));
+    assertFalse(health.isAvoided(ID, 1_000 * MS));
+  }
+
+  @Test
+  public void refusedConnectionIsEnoughToAvoidAnUpstream() {
+    UpstreamHealth health = UpstreamHealth.create();
+    health.unreachable(ID, 0);
+
+    assertTrue(health.isAvoided(ID, MS));
+  }
+
+  @Test
+  public void silentPeersLoadIsForgotten() {
+    LoadBoard board = LoadBoard.create();
+    board.add(4, new UpstreamLoad(1, 100, 100));
+    board.heard(RouterName.of("2"), Map.of(4, new UpstreamLoad(2, 50, 60)), 0);
+
+    assertEquals(board.total(4, 100 * MS), new UpstreamLoad(3, 150, 160));
+    assertEquals(board.total(4, 900 * MS), new UpstreamLoad(1, 100, 100));
+    board.subtract(4, new UpstreamLoad(1, 100, 100));
+    assertEquals(board.own(), Map.of());
+  }
+
+  @Test
+  public void serviceOfATeamFadesAndCountsAllRouters() {
+    TeamUsage usage = TeamUsage.create();
+    TeamName team = TeamName.of("red");
+    usage.served(team, 100, 0);
+    usage.heard(RouterName.of("2"), Map.of("red".hashCode(), 40.0), 0);
+
+    assertEquals(usage.of(team, 0), 140.0, 0.01);
+    assertEquals(usage.of(team, 2_000 * MS), 50.0, 0.01);
+  }
+
+  @Test
+  public void lostHistoryIsListedAgainAndPagesWatchFromTheFirst() {
+    FollowPlan plan = FollowPlan.of(() -> 1.0);
+    plan.listed(10, Optional.of("k"));
+    assertEquals(plan.next(), new FollowPlan.Call.ListPage(Optional.of("k")));
+    plan.listed(12, Optional.empty());
+    assertEquals(plan.next(), new FollowPlan.Call.Watch(10));
+
+    plan.watched(15, true);
+    assertEquals(plan.next(), new FollowPlan.Call.Watch(15));
+    plan.historyLost();
+    assertEquals(plan.next(), new FollowPlan.Call.ListPage(Optional.empty()));
+  }
+
+  @DataProvider
+  public Object[][] failures() {
+    return new Object[][] {{1, 100}, {2, 200}, {3, 400}, {4, 800}, {9, 800}};
+  }
+
+  @Test(dataProvider = "failures")
+  public void failingStoreIsAskedLessAndLessOften(int failures, int expectedMs) {
+    FollowPlan plan = FollowPlan.of(() -> 1.0);
+    Duration pause = Duration.ZERO;
+    for (int i = 0; i < failures; i++) {
+      pause = plan.failed();
+    }
+
+    assertEquals(pause.toMillis(), expectedMs);
+    assertTrue(plan.isFailing());
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
@@ -0,0 +1,180 @@
+package org.dandelionbeam.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Loads of the heaviest days, each named after its pattern. */
+public class HeavyLoadTest {
+  private static final int ROUTERS = 7;
+  private static final int ENGINES = 6;
+  private static final double TOKENS_PER_MS = 30;
+  private static final int OBJECTIVE_MS = 500;
+  private static final int SECONDS = 12;
+
+  @DataProvider
+  public Object[][] seeds() {
+    return new Object[][] {{1L}, {2L}, {3L}, {4L}};
+  }
+
+  private static PromptShape prompt(Random random, String session, long own) {
+    return VirtualFleet.prompt(session, 600, own, "u" + random.nextLong());
+  }
+
+  /** Sends requests of a team at random times, at a mean number a second over all routers. */
+  private static void arrive(
+      VirtualFleet fleet, Random random, String team, double perSecond, long own) {
+    if (random.nextDouble() < perSecond / 1_000) {
+      String session = "s" + random.nextInt(40);
+      fleet
+          .router(random.nextInt(fleet.routerCount()))
+          .submit(team, prompt(random, session, own), OBJECTIVE_MS);
+    }
+  }
+
+  @Test(dataProvider = "seeds")
+  public void floodOfOneTeamLeavesTheOthersTheirShare(long seed) {
+    VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
+    Random random = new Random(seed);
+    int asked = 0;
+    for (int ms = 0; ms < SECONDS * 1_000; ms++) {
+      arrive(fleet, random, "flood", 200, 2_000);
+      if (random.nextDouble() < 0.02) {
+        asked++;
+        arrive(fleet, random, "light", 1_000, 2_000);
+      }
+      fleet.step();
+    }
+
+    int inTime = fleet.sum(router -> router.inTime, "light");
+    assertTrue(inTime > 0.8 * asked, "light team in time: " + inTime + " of " + asked);
+    int served = fleet.sum(router -> router.served, "flood");
+    assertTrue(served > 55 * SECONDS, "capacity is used by the flood: " + served);
+  }
+
+  @Test(dataProvider = "seeds")
+  public void severalLargeTeamsGetAboutTheSame(long seed) {
+    VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
+    Random random = new Random(seed);
+    for (int ms = 0; ms < SECONDS * 1_000; ms++) {
+      arrive(fleet, random, "large", 120, 2_000);
+      arrive(fleet, random, "larger", 60, 2_000);
+      fleet.step();
+    }
+
+    int large = fleet.sum(router -> router.served, "large");
+    int larger = fleet.sum(router -> router.served, "larger");
+    assertTrue(larger > 0.6 * large, "served " + large + " and " + larger);
+  }
+
+  @Test(dataProvider = "seeds")
+  public void sessionsStayWithTheEngineThatHoldsThem(long seed) {
+    VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
+    Random random = new Random(seed);
+    for (int ms = 0; ms < SECONDS * 1_000; ms++) {
+      arrive(fleet, random, "team", 45, 2_000);
+      fleet.step();
+    }
+
+    long reread = 0;
+    for (int i = 0; i < fleet.routerCount(); i++) {
+      reread += fleet.router(i).rereadTokens;
+    }
+    long sessions = 40;
+    assertTrue(reread <= 2 * sessions * 600, "tokens of shared parts read: " + reread);
+  }
+
+  @Test(dataProvider = "seeds")
+  public void hotPartGetsASecondHomeBeforeTheFirstDrowns(long seed) {
+    VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
+    Random random = new Random(seed);
+    int asked = 0;
+    for (int ms = 0; ms < SECONDS * 1_000; ms++) {
+      if (random.nextDouble() < 0.025) {
+        asked++;
+        fleet
+            .router(random.nextInt(ROUTERS))
+            .submit("team", prompt(random, "hot", 2_000), OBJECTIVE_MS);
+      }
+      fleet.step();
+    }
+
+    int inTime = fleet.sum(router -> router.inTime, "team");
+    assertTrue(inTime > 0.85 * asked, "hot part in time: " + inTime + " of " + asked);
+  }
+
+  @Test
+  public void overloadIsRefusedAtOnceAndNothingIsRefusedWhileEnginesAreIdle() {
+    VirtualFleet fleet = new VirtualFleet(1, 1, TOKENS_PER_MS);
+    Random random = new Random(1);
+    Decision first = fleet.router(0).submit("team", prompt(random, "s", 2_000), OBJECTIVE_MS);
+    assertTrue(first instanceof Decision.Granted, first.toString());
+
+    Decision last = first;
+    for (int i = 0; i < 60; i++) {
+      last = fleet.router(0).submit("team", prompt(random, "s", 2_000), OBJECTIVE_MS);
+    }
+    assertTrue(last instanceof Decision.Refused, last.toString());
+    Decision.Refused refused = (Decision.Refused) last;
+    assertEquals(refused.reason(), Decision.RefusalReason.OVERLOADED);
+    assertTrue(refused.retryAfter().toMillis() >= 200, refused.toString());
+  }
+
+  @Test
+  public void waitingRequestsEndBeforeTheirCallersLeave() {
+    VirtualFleet fleet = new VirtualFleet(1, 1, 1);
+    Random random = new Random(1);
+    for (int i = 0; i < 4; i++) {
+      fleet.router(0).submit("team", prompt(random, "s", 4_000), OBJECTIVE_MS);
+    }
+    for (int ms = 0; ms < 1_200; ms++) {
+      fleet.step();
+    }
+
+    assertEquals(fleet.router(0).scheduler.waitingCount(), 0);
+    assertTrue(fleet.sum(router -> router.refused, "team") >= 2);
+  }
+
+  @Test
+  public void coldEngineGetsNoMoreThanItsPaceFromAllRoutersTogether() {
+    int routers = 7;
+    int sent = 0;
+    for (int i = 0; i < routers; i++) {
+      ColdPace pace = ColdPace.of(VirtualFleet.LIMITS);
+      InstanceId engine = InstanceId.of("engine");
+      for (int ms = 0; ms < 1_000; ms++) {
+        long now = ms * VirtualFleet.MS;
+        if (pace.allows(engine, 11, routers, now)) {
+          pace.sent(engine, now);
+          sent++;
+        }
+      }
+    }
+
+    assertTrue(sent <= 11 * 1.5 + 5, "sent in a second: " + sent);
+    assertTrue(sent > 0);
+  }
+
+  @Test
+  public void retriesOfAllRoutersStayWithinTheBudget() {
+    int routers = 7;
+    int retries = 0;
+    int requests = 0;
+    ServiceName service = ServiceName.of("ledger");
+    for (int i = 0; i < routers; i++) {
+      RetryAllowance allowance = RetryAllowance.of(VirtualFleet.LIMITS);
+      for (int ms = 0; ms < 10_000; ms += 100) {
+        long now = ms * VirtualFleet.MS;
+        allowance.requested(service, now);
+        requests++;
+        retries += allowance.tryRetry(service, routers, now) ? 1 : 0;
+      }
+    }
+
+    assertTrue(retries <= 0.2 * requests + 54, retries + " retries of " + requests);
+    assertTrue(retries > 0.1 * requests, "the budget is used: " + retries);
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/dandelionbeam/routing/UpstreamDirectoryTest.java
@@ -0,0 +1,119 @@
+package org.dandelionbeam.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.dandelionbeam.base.FailureDomain;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class UpstreamDirectoryTest {
+  private static final long MS = 1_000_000L;
+  private static final ServiceName SERVICE = ServiceName.of("ledger");
+  private static final InstanceId ID = InstanceId.of("one");
+  private static final FailureDomain DOMAIN = FailureDomain.of("a");
+
+  private final UpstreamDirectory directory = UpstreamDirectory.create();
+
+  private static UpstreamInstance entry(long incarnation, boolean draining, int coldMs) {
+    return new UpstreamInstance(
+        ID,
+        incarnation,
+        SERVICE,
+        new Endpoint("10.0.0.1", 80),
+        DOMAIN,
+        6,
+        draining,
+        Duration.ofMillis(coldMs));
+  }
+
+  private static UpstreamDirectory with(UpstreamInstance instance) {
+    UpstreamDirectory made = UpstreamDirectory.create();
+    made.put(instance, 0);
+    return made;
+  }
+
+  @Test
+  public void drainingUpstreamGetsNothing() {
+    UpstreamDirectory made = with(entry(1, false, 0));
+    made.put(entry(1, true, 0), MS);
+
+    assertEquals(made.usable(SERVICE), List.of());
+  }
+
+  @Test
+  public void removedEntryIsGoneAtOnceWhileTheStoreIsCalm() {
+    UpstreamDirectory made = with(entry(1, false, 0));
+    made.remove(ID, MS);
+
+    assertEquals(made.usable(SERVICE), List.of());
+  }
+
+  @DataProvider
+  public Object[][] timesAfterTheReturn() {
+    return new Object[][] {{100, true}, {1_100, true}, {1_300, false}, {3_000, false}};
+  }
+
+  @Test(dataProvider = "timesAfterTheReturn")
+  public void lapsedEntryStaysForAShortTimeAfterTheStoreReturns(int ms, boolean usable) {
+    UpstreamDirectory made = with(entry(1, false, 0));
+    made.storeDisturbed(0);
+    made.replaceAll(List.of(), 10 * MS);
+    made.expire(ms * MS);
+
+    assertEquals(made.usable(SERVICE).isEmpty(), !usable);
+  }
+
+  @Test
+  public void lapsedEntryThatReturnsStays() {
+    UpstreamDirectory made = with(entry(1, false, 0));
+    made.storeDisturbed(0);
+    made.remove(ID, 10 * MS);
+    made.put(entry(1, false, 0), 500 * MS);
+    made.expire(10_000 * MS);
+
+    assertEquals(made.usable(SERVICE).size(), 1);
+  }
+
+  @Test
+  public void drainingEntryThatVanishesIsGoneThoughTheStoreWasDisturbed() {
+    UpstreamDirectory made = with(entry(1, true, 0));
+    made.storeDisturbed(0);
+    made.remove(ID, MS);
+
+    assertTrue(made.all().isEmpty());
+  }
+
+  @Test
+  public void olderStartUnderTheSameIdIsIgnored() {
+    UpstreamDirectory made = with(entry(2, false, 0));
+
+    assertFalse(made.put(entry(1, true, 0), MS));
+    assertEquals(made.usable(SERVICE).size(), 1);
+    assertTrue(made.put(entry(3, false, 0), MS));
+  }
+
+  @Test
+  public void domainThatReturnsIsColdAtFirst() {
+    directory.put(entry(1, false, 0), 0);
+    directory.evacuate(Set.of(DOMAIN), MS, Duration.ofSeconds(3));
+    assertEquals(directory.usable(SERVICE), List.of());
+
+    directory.evacuate(Set.of(), 2 * MS, Duration.ofSeconds(3));
+    assertEquals(directory.usable(SERVICE).size(), 1);
+    assertTrue(directory.isCold(ID, 1_000 * MS));
+    assertFalse(directory.isCold(ID, 4_000 * MS));
+  }
+
+  @Test
+  public void laterEntryDoesNotShortenTheColdTime() {
+    UpstreamDirectory made = with(entry(1, false, 3_000));
+    made.put(entry(1, false, 0), 100 * MS);
+
+    assertTrue(made.isCold(ID, 2_000 * MS));
+  }
+}
