--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -21,7 +21,7 @@
    * Reading a shared part again takes an engine's time from all requests and fills its memory
    * twice, so a request rather waits for the engine that holds the part.
    */
-  private static final double REREAD_FACTOR = 5;
+  private static final double REREAD_FACTOR = 15;
 
   /** Makes all routers choose the same next engine when the preferred one has no room. */
   private static final long RANK_TOKENS = 300;
@@ -51,7 +51,7 @@
   private static final double MIN_BACKLOG_SHARE = 0.25;
 
   /** Part of the objective that the wait for the first output may take; the rest is for the way. */
-  private static final double OBJECTIVE_SHARE = 0.8;
+  private static final double OBJECTIVE_SHARE = 0.7;
 
   private final FleetState fleet;
   private final FailureDomain here;
