Read the store again when peers know newer versions of it

Change: reports carry the version of the configuration and the newest revision of upstreams; a router that is behind for 250 ms reads again. Ruled out: a watch cut in the back-off (the log shows one call, unanswered).

--- a/library/src/main/java/org/dandelionbeam/routing/FleetState.java
+++ b/library/src/main/java/org/dandelionbeam/routing/FleetState.java
@@ -17,6 +17,8 @@
   private final ColdPace coldPace;
   private final RetryAllowance retries;
   private final FleetMembers members;
+  private final StaleBeliefs staleBeliefs = StaleBeliefs.create();
+  private long upstreamsRevision;
   private RoutingTable table;
   private long nowNanos;
 
@@ -60,6 +62,42 @@
     return Optional.ofNullable(table);
   }
 
+  /**
+   * Notes the revision of a change of an upstream's entry.
+   *
+   * @param revision revision of the store
+   */
+  public void upstreamsAt(long revision) {
+    upstreamsRevision = Math.max(upstreamsRevision, revision);
+  }
+
+  /**
+   * Notes that all entries of upstreams were read. What peers knew before is known then too.
+   *
+   * @param asOf revision of the store at the time of the reading
+   */
+  public void upstreamsListed(long asOf) {
+    upstreamsAt(Math.min(asOf, staleBeliefs.newest().upstreams()));
+  }
+
+  /**
+   * Returns the versions of what is known of the store.
+   *
+   * @return the versions
+   */
+  public StoreVersions versions() {
+    return new StoreVersions(table == null ? 0 : table.version(), upstreamsRevision);
+  }
+
+  /**
+   * Returns what peers know of the store beyond this router.
+   *
+   * @return the state
+   */
+  public StaleBeliefs staleBeliefs() {
+    return staleBeliefs;
+  }
+
   /**
    * Returns the upstreams.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
@@ -89,7 +89,8 @@
   }
 
   /**
-   * Returns the order in which all routers prefer engines for a prompt, by rendezvous hashing.
+   * Returns the order in which all routers prefer engines for a prompt, by rendezvous hashing of
+   * its last shared part.
    *
    * @param shape the prompt
    * @param engines numbers of the engines that may be chosen
@@ -99,7 +100,7 @@
     if (shape.parts().isEmpty()) {
       return Map.of();
     }
-    long hash = shape.parts().get(Math.min(1, shape.parts().size() - 1)).hash();
+    long hash = shape.parts().get(Math.max(0, shape.parts().size() - 2)).hash();
     List<Integer> order = new ArrayList<>(engines);
     order.sort(Comparator.comparingLong(engine -> weight(hash, engine)));
     Map<Integer, Integer> ranks = new HashMap<>();
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/StaleBeliefs.java
@@ -0,0 +1,83 @@
+package org.dandelionbeam.routing;
+
+import java.time.Duration;
+
+/**
+ * Notices that peers know newer versions of the store than this router, whose watch may be silent.
+ * Not thread-safe.
+ */
+public final class StaleBeliefs {
+  /** A change reaches all watches within this time if they work. */
+  private static final Duration PATIENCE = Duration.ofMillis(250);
+
+  private StoreVersions newest = StoreVersions.NONE;
+  private long configurationBehindSince;
+  private long upstreamsBehindSince;
+  private boolean configurationBehind;
+  private boolean upstreamsBehind;
+
+  private StaleBeliefs() {}
+
+  /**
+   * Returns a state in which no peer was heard.
+   *
+   * @return the state
+   */
+  public static StaleBeliefs create() {
+    return new StaleBeliefs();
+  }
+
+  /**
+   * Takes the versions that a peer knows.
+   *
+   * @param versions its versions
+   */
+  public void heard(StoreVersions versions) {
+    newest = newest.newest(versions);
+  }
+
+  /**
+   * Returns the newest versions that any peer knows.
+   *
+   * @return the versions
+   */
+  public StoreVersions newest() {
+    return newest;
+  }
+
+  /**
+   * Tells whether the configuration should be read again. After that the time starts anew.
+   *
+   * @param own versions that this router knows
+   * @param nowNanos monotonic time
+   * @return true if a peer has known a newer one for some time
+   */
+  public boolean configurationIsDue(StoreVersions own, long nowNanos) {
+    boolean behind = own.configuration() < newest.configuration();
+    if (!behind || !configurationBehind) {
+      configurationBehindSince = nowNanos;
+    }
+    configurationBehind = behind;
+    boolean due = behind && nowNanos - configurationBehindSince >= PATIENCE.toNanos();
+    configurationBehind &= !due;
+    return due;
+  }
+
+  /**
+   * Tells whether the upstreams should be listed again. After that the time starts anew.
+   *
+   * @param own versions that this router knows
+   * @param nowNanos monotonic time
+   * @return true if a peer has known a newer revision for some time
+   */
+  public boolean upstreamsAreDue(StoreVersions own, long nowNanos) {
+    boolean behind = own.upstreams() < newest.upstreams();
+    if (!behind || !upstreamsBehind) {
+      upstreamsBehindSince = nowNanos;
+    }
+    upstreamsBehind = behind;
+    boolean due = behind && nowNanos - upstreamsBehindSince >= PATIENCE.toNanos();
+    upstreamsBehind &= !due;
+    return due;
+  }
+}
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -18,6 +18,7 @@
 import org.dandelionbeam.routing.Endpoint;
 import org.dandelionbeam.routing.FleetState;
 import org.dandelionbeam.routing.InstanceId;
+import org.dandelionbeam.routing.StoreVersions;
 
 /**
  * A router: takes requests of callers, sends them to upstreams and exchanges reports with its
@@ -30,6 +31,7 @@
   /** Requests that wait are looked at again so often, at a moment that differs by router. */
   private static final Duration POLL_INTERVAL = Duration.ofMillis(12);
 
+  private static final Duration STALE_CHECK_INTERVAL = Duration.ofMillis(100);
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
   /** Callers keep an address for a few seconds after it left the directory. */
@@ -150,6 +152,29 @@
     context.pollSoon();
   }
 
+  /**
+   * Sets what reads the store again when peers know newer versions of it.
+   *
+   * @param configuration reads the configuration
+   * @param upstreams lists the upstreams
+   */
+  public void onStale(Runnable configuration, Runnable upstreams) {
+    every(
+        STALE_CHECK_INTERVAL,
+        () -> {
+          FleetState fleet = fleet();
+          StoreVersions own = fleet.versions();
+          if (fleet.staleBeliefs().configurationIsDue(own, fleet.nowNanos())) {
+            context.log().line("configuration_behind").with("version", own.configuration()).write();
+            configuration.run();
+          }
+          if (fleet.staleBeliefs().upstreamsAreDue(own, fleet.nowNanos())) {
+            context.log().line("upstreams_behind").with("version", own.upstreams()).write();
+            upstreams.run();
+          }
+        });
+  }
+
   /**
    * Leaves the fleet: callers are sent elsewhere, and open requests are finished.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
@@ -52,6 +52,7 @@
         new PeerReport(
             fleet.members().self(),
             serving,
+            fleet.versions(),
             true,
             fleet.loads().own(),
             withService ? fleet.usage().own(now) : Map.of()));
@@ -62,7 +63,9 @@
     FleetState fleet = router.fleet();
     Map<Integer, UpstreamLoad> changes = fleet.loads().takeChanges();
     if (!changes.isEmpty()) {
-      send(new PeerReport(fleet.members().self(), serving, false, changes, Map.of()));
+      send(
+          new PeerReport(
+              fleet.members().self(), serving, fleet.versions(), false, changes, Map.of()));
     }
   }
 
@@ -88,6 +91,7 @@
       long now = router.tick();
       RouterName name = report.sender().name();
       FleetState fleet = router.fleet();
+      fleet.staleBeliefs().heard(report.versions());
       fleet.members().heard(report.sender(), report.serving(), now);
       if (report.whole()) {
         fleet.loads().heard(name, report.loads(), now);
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/PeerReport.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerReport.java
@@ -7,6 +7,7 @@
 import org.dandelionbeam.routing.Endpoint;
 import org.dandelionbeam.routing.FleetMembers.Member;
 import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.StoreVersions;
 import org.dandelionbeam.routing.UpstreamLoad;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -18,6 +19,7 @@
  *
  * @param sender the router
  * @param serving whether it takes requests
+ * @param versions versions of what it knows of the store
  * @param whole whether all its work follows, not only where it changed
  * @param loads its work in flight by number of the upstream
  * @param service faded service that it gave, by number of the team
@@ -25,10 +27,11 @@
 record PeerReport(
     Member sender,
     boolean serving,
+    StoreVersions versions,
     boolean whole,
     Map<Integer, UpstreamLoad> loads,
     Map<Integer, Double> service) {
-  private static final int FORMAT = 2;
+  private static final int FORMAT = 3;
 
   /** Returns the report as MessagePack. */
   byte[] encode() throws IOException {
@@ -40,6 +43,8 @@
       packer.packString(sender.domain().name());
       packer.packLong(sender.incarnation());
       packer.packBoolean(serving);
+      packer.packLong(versions.configuration());
+      packer.packLong(versions.upstreams());
       packer.packBoolean(whole);
       packer.packMapHeader(loads.size());
       for (Map.Entry<Integer, UpstreamLoad> entry : loads.entrySet()) {
@@ -76,8 +81,9 @@
               FailureDomain.of(unpacker.unpackString()),
               unpacker.unpackLong());
       boolean serving = unpacker.unpackBoolean();
+      StoreVersions versions = new StoreVersions(unpacker.unpackLong(), unpacker.unpackLong());
       boolean whole = unpacker.unpackBoolean();
-      return new PeerReport(sender, serving, whole, loads(unpacker), service(unpacker));
+      return new PeerReport(sender, serving, versions, whole, loads(unpacker), service(unpacker));
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("not a report", e);
     }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
@@ -24,7 +24,11 @@
   void granted(Decision.Granted grant, int inFlight, long nowNanos) {
     String detail = "upstream=" + grant.instance().id() + " address=" + grant.instance().endpoint();
     String load =
-        " ahead_tokens="
+        " parts="
+            + grant.ticket().shape().parts().size()
+            + " prompt_tokens="
+            + grant.ticket().shape().promptTokens()
+            + " ahead_tokens="
             + grant.aheadTokens()
             + " unread_tokens="
             + grant.work().unreadTokens()
