--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -53,6 +53,9 @@
   /** Part of the objective that the wait for the first output may take; the rest is for the way. */
   private static final double OBJECTIVE_SHARE = 0.7;
 
+  /** Service against the team that got most, below which a team need not wait for its engine. */
+  private static final double OWED_SHARE = 0.7;
+
   private final FleetState fleet;
   private final FailureDomain here;
 
@@ -83,7 +86,7 @@
    * Returns the upstream that should get the request now, empty if the request should wait.
    *
    * <p>A request waits for the best upstream while it can be answered there in time. It goes to
-   * another one only if that one answers it in time.
+   * another one only if that one answers it in time, or if its team got less than others.
    */
   Optional<Decision.Granted> choose(Ticket ticket, ServiceSpec spec, long nowNanos) {
     Map<Integer, Integer> ranks = ranksOf(ticket, spec);
@@ -97,10 +100,14 @@
     if (open == null || best == open) {
       return Optional.ofNullable(open).map(choice -> choice.granted(ticket));
     }
-    boolean waits = best.answersInTime || !open.answersInTime;
+    boolean waits = best.answersInTime || (!open.answersInTime && !isOwedService(ticket));
     return waits ? Optional.empty() : Optional.of(open.granted(ticket));
   }
 
+  private boolean isOwedService(Ticket ticket) {
+    return fleet.usage().toLargest(ticket.team(), fleet.nowNanos()) < OWED_SHARE;
+  }
+
   private static Choice cheaper(Choice known, Choice other) {
     return known == null || other.cost < known.cost ? other : known;
   }
--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -22,9 +22,12 @@
   /** Part of a caller's patience that a request may wait here; the rest is for its upstream. */
   private static final double MAX_WAIT_SHARE = 0.45;
 
-  /** Service against the mean of all teams above which a team comes after all others. */
+  /** Service against the mean of all teams above which a team comes after others. */
   private static final double CLEAR_EXCESS = 1.3;
 
+  /** Teams whose service differs by less are equals; twice as much would be unfair. */
+  private static final double TIER_FACTOR = 1.5;
+
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(2);
 
@@ -125,15 +128,17 @@
 
   private Comparator<Ticket> order() {
     long now = fleet.nowNanos();
-    return Comparator.comparing((Ticket ticket) -> hasMoreThanItsShare(ticket, now))
+    return Comparator.comparingInt((Ticket ticket) -> excessTier(ticket, now))
         .thenComparing(ticket -> isTooLate(ticket, now))
         .thenComparingDouble(ticket -> fleet.usage().of(ticket.team(), now))
         .thenComparingLong(Ticket::arrivedNanos)
         .thenComparingLong(Ticket::number);
   }
 
-  private boolean hasMoreThanItsShare(Ticket ticket, long now) {
-    return fleet.usage().relative(ticket.team(), now) > CLEAR_EXCESS;
+  /** Teams that differ much in what they got lately come one after another, late or not. */
+  private int excessTier(Ticket ticket, long now) {
+    double excess = fleet.usage().relative(ticket.team(), now) / CLEAR_EXCESS;
+    return excess <= 1 ? 0 : (int) Math.ceil(Math.log(excess) / Math.log(TIER_FACTOR));
   }
 
   /** Tells whether the request would miss its objective even if an engine took it at once. */
--- a/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
+++ b/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
@@ -1,6 +1,7 @@
 package org.dandelionbeam.routing;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -15,14 +16,15 @@
 
   private static final Duration PEER_REPORT_LIFETIME = Duration.ofSeconds(2);
 
-  /** The mean changes slowly against the time between two decisions. */
-  private static final Duration MEAN_LIFETIME = Duration.ofMillis(50);
+  /** The sums change slowly against the time between two decisions. */
+  private static final Duration SUMMARY_LIFETIME = Duration.ofMillis(50);
 
   private final Map<Integer, Faded> own = new HashMap<>();
   private final Map<RouterName, Report> peers = new HashMap<>();
 
   private double mean;
-  private long meanAtNanos;
+  private double largest;
+  private long summaryAtNanos;
 
   private TeamUsage() {}
 
@@ -85,14 +87,33 @@
    * @return 1 for a team that got the mean; 0 if no team got any
    */
   public double relative(TeamName team, long nowNanos) {
-    if (nowNanos - meanAtNanos > MEAN_LIFETIME.toNanos() || meanAtNanos == 0) {
-      mean = computeMean(nowNanos);
-      meanAtNanos = nowNanos;
-    }
+    refresh(nowNanos);
     return mean <= 0 ? 0 : of(team, nowNanos) / mean;
   }
 
-  private double computeMean(long nowNanos) {
+  /**
+   * Compares the service of a team with that of the team that got most.
+   *
+   * @param team the team
+   * @param nowNanos monotonic time
+   * @return 0 to about 1; 1 if no team got any
+   */
+  public double toLargest(TeamName team, long nowNanos) {
+    refresh(nowNanos);
+    return largest <= 0 ? 1 : of(team, nowNanos) / largest;
+  }
+
+  private void refresh(long nowNanos) {
+    if (nowNanos - summaryAtNanos <= SUMMARY_LIFETIME.toNanos() && summaryAtNanos != 0) {
+      return;
+    }
+    Collection<Double> all = services(nowNanos).values();
+    mean = all.stream().mapToDouble(Double::doubleValue).average().orElse(0);
+    largest = all.stream().mapToDouble(Double::doubleValue).max().orElse(0);
+    summaryAtNanos = nowNanos;
+  }
+
+  private Map<Integer, Double> services(long nowNanos) {
     Map<Integer, Double> all = new HashMap<>();
     own.forEach((team, faded) -> all.merge(team, faded.at(nowNanos), Double::sum));
     for (Report report : peers.values()) {
@@ -100,7 +121,7 @@
         report.service.forEach((team, service) -> all.merge(team, service, Double::sum));
       }
     }
-    return all.values().stream().mapToDouble(Double::doubleValue).average().orElse(0);
+    return all;
   }
 
   /**
--- a/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
@@ -70,6 +70,27 @@
     assertTrue(larger > 0.6 * large, "served " + large + " and " + larger);
   }
 
+  @Test(dataProvider = "seeds")
+  public void largeTeamWithFewSessionsIsNotHeldBackByItsEngines(long seed) {
+    VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
+    Random random = new Random(seed);
+    for (int ms = 0; ms < SECONDS * 1_000; ms++) {
+      arrive(fleet, random, "spread", 120, 2_000);
+      if (random.nextDouble() < 0.06) {
+        String session = "hot";
+        fleet
+            .router(random.nextInt(ROUTERS))
+            .submit("narrow", prompt(random, session, 2_000), OBJECTIVE_MS);
+      }
+      fleet.step();
+    }
+
+    int spread = fleet.sum(router -> router.served, "spread");
+    int narrow = fleet.sum(router -> router.served, "narrow");
+    int owed = Math.min(60 * SECONDS, spread);
+    assertTrue(narrow > 0.7 * owed, "served " + spread + " and " + narrow);
+  }
+
   @Test(dataProvider = "seeds")
   public void sessionsStayWithTheEngineThatHoldsThem(long seed) {
     VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
