--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -53,8 +53,8 @@
   /** Part of the objective that the wait for the first output may take; the rest is for the way. */
   private static final double OBJECTIVE_SHARE = 0.7;
 
-  /** Service against the team that got most, below which a team need not wait for its engine. */
-  private static final double OWED_SHARE = 0.7;
+  /** Service against the team that got most, below which a large team need not wait. */
+  private static final double OWED_SHARE = 0.5;
 
   private final FleetState fleet;
   private final FailureDomain here;
@@ -86,7 +86,8 @@
    * Returns the upstream that should get the request now, empty if the request should wait.
    *
    * <p>A request waits for the best upstream while it can be answered there in time. It goes to
-   * another one only if that one answers it in time, or if its team got less than others.
+   * another one only if that one answers it in time, or if its team is large and got much less than
+   * the largest.
    */
   Optional<Decision.Granted> choose(Ticket ticket, ServiceSpec spec, long nowNanos) {
     Map<Integer, Integer> ranks = ranksOf(ticket, spec);
@@ -105,7 +106,9 @@
   }
 
   private boolean isOwedService(Ticket ticket) {
-    return fleet.usage().toLargest(ticket.team(), fleet.nowNanos()) < OWED_SHARE;
+    long now = fleet.nowNanos();
+    return fleet.usage().relative(ticket.team(), now) > 1
+        && fleet.usage().toLargest(ticket.team(), now) < OWED_SHARE;
   }
 
   private static Choice cheaper(Choice known, Choice other) {
