--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -53,9 +53,6 @@
   /** Part of the objective that the wait for the first output may take; the rest is for the way. */
   private static final double OBJECTIVE_SHARE = 0.7;
 
-  /** Service against the team that got most, below which a large team need not wait. */
-  private static final double OWED_SHARE = 0.5;
-
   private final FleetState fleet;
   private final FailureDomain here;
 
@@ -101,16 +98,10 @@
     if (open == null || best == open) {
       return Optional.ofNullable(open).map(choice -> choice.granted(ticket));
     }
-    boolean waits = best.answersInTime || (!open.answersInTime && !isOwedService(ticket));
+    boolean waits = best.answersInTime || !open.answersInTime;
     return waits ? Optional.empty() : Optional.of(open.granted(ticket));
   }
 
-  private boolean isOwedService(Ticket ticket) {
-    long now = fleet.nowNanos();
-    return fleet.usage().relative(ticket.team(), now) > 1
-        && fleet.usage().toLargest(ticket.team(), now) < OWED_SHARE;
-  }
-
   private static Choice cheaper(Choice known, Choice other) {
     return known == null || other.cost < known.cost ? other : known;
   }
@@ -147,6 +138,7 @@
                 ticket, spec.engine().get(), instance, load, ranks.getOrDefault(number, 1))
             : plainChoice(instance, load);
     choice.hasRoom &= coldRoom;
+    choice.answersInTime &= coldRoom;
     if (!instance.domain().equals(here)) {
       choice.cost += choice.otherDomainCost;
     }
