--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -150,7 +150,7 @@
     if (decision instanceof Decision.Granted granted) {
       send(granted);
     } else if (decision instanceof Decision.Refused refused) {
-      trace.step("refused", refused.reason().name().toLowerCase(Locale.ROOT), router.now());
+      trace.refused(refused, router.scheduler().waitingCount(), router.now());
       giveUp(refused.retryAfter());
     } else {
       trace.waiting(router.scheduler().waitingCount(), router.now());
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.RouteRule;
 
@@ -41,6 +42,18 @@
     add("waiting", "queued=" + queued, 0, nowNanos);
   }
 
+  void refused(Decision.Refused refused, int queued, long nowNanos) {
+    String reason = refused.reason().name().toLowerCase(Locale.ROOT);
+    String detail =
+        "reason="
+            + reason
+            + " queued="
+            + queued
+            + " retry_after_ms="
+            + refused.retryAfter().toMillis();
+    add("refused", detail, 0, nowNanos);
+  }
+
   void step(String name, String detail, long nowNanos) {
     add(name, detail, 0, nowNanos);
   }
