--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -4,12 +4,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -38,9 +35,6 @@
   /** Callers that don't say how long they wait get this long. */
   private static final Duration DEFAULT_PATIENCE = Duration.ofSeconds(30);
 
-  /** A larger answer is passed on while it arrives. */
-  private static final int MAX_BUFFERED_BYTES = 1 << 20;
-
   /** Sends of one request that upstreams reject; more would only load them further. */
   private static final int MAX_REJECTIONS = 2;
 
@@ -72,11 +66,8 @@
   private long sentNanos;
   private boolean outputSeen;
   private long firstOutputNanos;
-  private int parts;
-  private HttpResponse answerHead;
+  private final AnswerDelivery delivery;
   private boolean rejected;
-  private boolean relaying;
-  private ByteBuf buffered;
   private FullHttpResponse upstreamError;
   private boolean over;
 
@@ -85,6 +76,7 @@
     this.session = requireNonNull(session, "session");
     this.head = requireNonNull(head, "head");
     this.body = requireNonNull(body, "body");
+    delivery = new AnswerDelivery(session, router.dialect());
   }
 
   void start() {
@@ -169,7 +161,6 @@
     }
     sentNanos = now;
     outputSeen = false;
-    answerHead = null;
     rejected = false;
     FullHttpRequest request = upstreamRequest(now);
     exchange = new UpstreamExchange(router.dialect(), request, terms.requestId(), this);
@@ -196,7 +187,7 @@
 
   @Override
   public void head(HttpResponse newHead, HttpDialect.AnswerTerms answer) {
-    answerHead = newHead;
+    delivery.begin(newHead);
     int status = newHead.status().code();
     rejected = answer.notRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
     answer
@@ -219,19 +210,9 @@
       return;
     }
     noteOutput();
-    parts++;
-    boolean streams =
-        route.kind() == RouteKind.STREAMING && answerHead.status().code() < FIRST_ERROR;
-    if (relaying) {
-      session.answerPart(part);
-    } else if (streams || bufferedBytes() + part.readableBytes() > MAX_BUFFERED_BYTES) {
-      startRelay();
-      session.answerPart(part);
-    } else {
-      buffered = buffered == null ? part.alloc().heapBuffer(part.readableBytes()) : buffered;
-      buffered.writeBytes(part);
-    }
-    if (relaying && !session.isWritable()) {
+    boolean streams = route.kind() == RouteKind.STREAMING && delivery.status() < FIRST_ERROR;
+    delivery.add(part, streams);
+    if (delivery.isRelaying() && !session.isWritable()) {
       exchange.reading(false);
     }
   }
@@ -244,32 +225,14 @@
       Duration elapsed = Duration.ofNanos(router.now() - sentNanos);
       router.scheduler().firstOutput(grant, elapsed);
       router.loadChanged();
-      trace.step("first_output", "status=" + answerHead.status().code(), router.now());
+      trace.step("first_output", "status=" + delivery.status(), router.now());
       router.pollSoon();
     }
   }
 
-  private int bufferedBytes() {
-    return buffered == null ? 0 : buffered.readableBytes();
-  }
-
-  private void startRelay() {
-    relaying = true;
-    HttpResponse answer =
-        new DefaultHttpResponse(
-            HttpVersion.HTTP_1_1, answerHead.status(), router.dialect().callerHeaders(answerHead));
-    answer.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-    answer.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-    session.answerHead(answer);
-    if (buffered != null) {
-      session.answerPart(buffered);
-      dropBuffered();
-    }
-  }
-
   @Override
   public void readComplete() {
-    if (relaying && !over) {
+    if (delivery.isRelaying() && !over) {
       session.flush();
     }
   }
@@ -290,18 +253,18 @@
       rejectedBy();
       return;
     }
-    int status = answerHead.status().code();
+    int status = delivery.status();
     router.fleet().health().answered(id(), status < FIRST_SERVER_ERROR);
     ticket.exclude(id());
     endGrant();
     runs++;
     verdict = verdict.join(Verdict.RAN);
-    if (relaying) {
+    if (delivery.isRelaying()) {
       finish(status);
       session.answerEnd();
       return;
     }
-    FullHttpResponse answer = wholeAnswer();
+    FullHttpResponse answer = delivery.whole();
     if (status >= FIRST_SERVER_ERROR && mayRunAgain()) {
       keepError(answer);
       resubmit("retry after status " + status);
@@ -310,19 +273,8 @@
     }
   }
 
-  private FullHttpResponse wholeAnswer() {
-    ByteBuf content = buffered == null ? body.alloc().heapBuffer(0) : buffered;
-    buffered = null;
-    FullHttpResponse answer =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answerHead.status(), content);
-    answer.headers().set(router.dialect().callerHeaders(answerHead));
-    answer.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-    HttpUtil.setContentLength(answer, content.readableBytes());
-    return answer;
-  }
-
   private void rejectedBy() {
-    int status = answerHead.status().code();
+    int status = delivery.status();
     boolean misdirected = status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
     trace.step("rejected", "status=" + status + " upstream=" + id(), router.now());
     router.metrics().count("upstream_rejections", "status", Integer.toString(status));
@@ -353,8 +305,8 @@
     }
     ticket.exclude(id());
     endGrant();
-    dropBuffered();
-    if (relaying) {
+    delivery.drop();
+    if (delivery.isRelaying()) {
       finish(HttpResponseStatus.BAD_GATEWAY.code());
       session.breakOff();
       return;
@@ -422,7 +374,7 @@
     boolean sent = exchange != null && grant != null && !exchange.isOver();
     trace.step("timeout", "sent=" + sent, router.now());
     abandon();
-    if (relaying) {
+    if (delivery.isRelaying()) {
       finish(HttpResponseStatus.GATEWAY_TIMEOUT.code());
       session.breakOff();
     } else if (upstreamError != null || (!sent && verdict == Verdict.NOT_RUN)) {
@@ -494,7 +446,7 @@
     if (ticket != null) {
       router.forget(ticket.number());
     }
-    dropBuffered();
+    delivery.drop();
     if (upstreamError != null) {
       upstreamError.release();
       upstreamError = null;
@@ -516,18 +468,11 @@
               + " runs="
               + runs
               + " parts="
-              + parts
+              + delivery.parts()
               + " stream_ms="
               + (outputSeen ? (now - firstOutputNanos) / 1_000_000 : 0),
           now);
       trace.write(router.log(), terms == null ? "none" : terms.requestId());
     }
   }
-
-  private void dropBuffered() {
-    if (buffered != null) {
-      buffered.release();
-      buffered = null;
-    }
-  }
 }
