--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamLoad.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamLoad.java
@@ -24,17 +24,4 @@
         unreadTokens + other.unreadTokens,
         memoryTokens + other.memoryTokens);
   }
-
-  /**
-   * Scales the work, to stand for routers that were not heard.
-   *
-   * @param factor 1 or more
-   * @return the scaled work
-   */
-  public UpstreamLoad times(double factor) {
-    return new UpstreamLoad(
-        (int) Math.round(inFlight * factor),
-        Math.round(unreadTokens * factor),
-        Math.round(memoryTokens * factor));
-  }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CallerSession.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CallerSession.java
@@ -44,6 +44,7 @@
   private long activeNanos = System.nanoTime();
   private long partialSinceNanos;
   private boolean partial;
+  private int heldBytes;
 
   CallerSession(RouterContext router) {
     this.router = requireNonNull(router, "router");
@@ -122,7 +123,7 @@
       return;
     }
     head = request;
-    body = ctx.alloc().heapBuffer((int) HttpUtil.getContentLength(request, 0L));
+    body = ctx.alloc().heapBuffer();
     if (HttpUtil.is100ContinueExpected(request)) {
       ctx.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -144,6 +145,12 @@
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, ErrorCode.BODY_TOO_LARGE);
       return;
     }
+    int bytes = content.content().readableBytes();
+    if (!router.tryHoldBody(bytes)) {
+      refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, ErrorCode.QUEUE_FULL);
+      return;
+    }
+    heldBytes += bytes;
     body.writeBytes(content.content());
     partialSinceNanos = System.nanoTime();
     if (content instanceof LastHttpContent) {
@@ -210,7 +217,13 @@
     }
   }
 
+  private void releaseHeld() {
+    router.releaseBody(heldBytes);
+    heldBytes = 0;
+  }
+
   private void done() {
+    releaseHeld();
     current = null;
     answering = false;
     activeNanos = System.nanoTime();
@@ -271,6 +284,7 @@
   public void channelInactive(ChannelHandlerContext context) {
     closing = true;
     router.sessions().remove(this);
+    releaseHeld();
     if (current != null) {
       current.callerLeft();
       current = null;
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -20,6 +20,9 @@
   /** One request in so many is logged although it went well. */
   private static final int SAMPLE = 100;
 
+  /** Bodies of requests that are held at once; a third of the heap that the deploy file gives. */
+  private static final long MAX_HELD_BODY_BYTES = 24L << 20;
+
   private final EventLoop loop;
   private final FleetState fleet;
   private final Scheduler scheduler;
@@ -30,6 +33,7 @@
   private final SplittableRandom random = new SplittableRandom();
   private final Map<Long, RequestTask> waiting = new HashMap<>();
   private final Set<CallerSession> sessions = new HashSet<>();
+  private long heldBodyBytes;
   private long tickets;
   private boolean pollPending;
   private boolean reportPending;
@@ -88,6 +92,19 @@
     return fleet.table().map(RoutingTable::limits).orElse(CallerLimits.DEFAULT);
   }
 
+  /** Takes room for a part of a body, false if too much is held already. */
+  boolean tryHoldBody(int bytes) {
+    if (heldBodyBytes + bytes > MAX_HELD_BODY_BYTES) {
+      return false;
+    }
+    heldBodyBytes += bytes;
+    return true;
+  }
+
+  void releaseBody(int bytes) {
+    heldBodyBytes -= bytes;
+  }
+
   long now() {
     return System.nanoTime();
   }
