--- a/library/src/main/java/org/dandelionbeam/routing/RoutingTable.java
+++ b/library/src/main/java/org/dandelionbeam/routing/RoutingTable.java
@@ -2,12 +2,14 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** One version of the operators' configuration, ready to be asked. Immutable. */
 public final class RoutingTable {
@@ -34,7 +36,7 @@
   }
 
   private static List<RouteRule> joined(List<RouteRule> left, List<RouteRule> right) {
-    return java.util.stream.Stream.concat(left.stream(), right.stream())
+    return Stream.concat(left.stream(), right.stream())
         .sorted((a, b) -> Integer.compare(b.prefix().length(), a.prefix().length()))
         .toList();
   }
@@ -148,7 +150,7 @@
   /** Collects the parts of a table. */
   public static final class Builder {
     private final long version;
-    private final List<RouteRule> routes = new java.util.ArrayList<>();
+    private final List<RouteRule> routes = new ArrayList<>();
     private final Map<ServiceName, ServiceSpec> services = new HashMap<>();
     private final Map<String, TeamName> teamsByKey = new HashMap<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
--- a/library/src/main/java/org/dandelionbeam/routing/StaleBeliefs.java
+++ b/library/src/main/java/org/dandelionbeam/routing/StaleBeliefs.java
@@ -10,11 +10,9 @@
   /** A change reaches all watches within this time if they work. */
   private static final Duration PATIENCE = Duration.ofMillis(250);
 
+  private final Lag configuration = new Lag();
+  private final Lag upstreams = new Lag();
   private StoreVersions newest = StoreVersions.NONE;
-  private long configurationBehindSince;
-  private long upstreamsBehindSince;
-  private boolean configurationBehind;
-  private boolean upstreamsBehind;
 
   private StaleBeliefs() {}
 
@@ -53,14 +51,7 @@
    * @return true if a peer has known a newer one for some time
    */
   public boolean configurationIsDue(StoreVersions own, long nowNanos) {
-    boolean behind = own.configuration() < newest.configuration();
-    if (!behind || !configurationBehind) {
-      configurationBehindSince = nowNanos;
-    }
-    configurationBehind = behind;
-    boolean due = behind && nowNanos - configurationBehindSince >= PATIENCE.toNanos();
-    configurationBehind &= !due;
-    return due;
+    return configuration.isDue(own.configuration() < newest.configuration(), nowNanos);
   }
 
   /**
@@ -71,13 +62,21 @@
    * @return true if a peer has known a newer revision for some time
    */
   public boolean upstreamsAreDue(StoreVersions own, long nowNanos) {
-    boolean behind = own.upstreams() < newest.upstreams();
-    if (!behind || !upstreamsBehind) {
-      upstreamsBehindSince = nowNanos;
+    return upstreams.isDue(own.upstreams() < newest.upstreams(), nowNanos);
+  }
+
+  /** How long this router has been behind its peers in one kind of news. */
+  private static final class Lag {
+    private boolean behind;
+    private long sinceNanos;
+
+    boolean isDue(boolean isBehind, long nowNanos) {
+      if (!isBehind || !behind) {
+        sinceNanos = nowNanos;
+      }
+      boolean due = isBehind && nowNanos - sinceNanos >= PATIENCE.toNanos();
+      behind = isBehind && !due;
+      return due;
     }
-    upstreamsBehind = behind;
-    boolean due = behind && nowNanos - upstreamsBehindSince >= PATIENCE.toNanos();
-    upstreamsBehind &= !due;
-    return due;
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CallerSession.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CallerSession.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -229,8 +230,7 @@
     activeNanos = System.nanoTime();
     if (!keepAlive) {
       closing = true;
-      ctx.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER)
-          .addListener(ChannelFutureListener.CLOSE);
+      ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
       return;
     }
     while (current == null && !closing && !pending.isEmpty()) {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.time.Duration;
@@ -81,7 +82,7 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
-                new io.netty.channel.WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
+                new WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
             .childHandler(new Pipeline())
             .bind(callers.host(), callers.port())
             .syncUninterruptibly()
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -41,9 +41,19 @@
   /** Upstreams of one request that can't be reached, before it is refused. */
   private static final int MAX_CONNECT_FAILURES = 4;
 
+  /** Another upstream is mostly free by then. */
+  private static final Duration COME_BACK_SOON = Duration.ofMillis(300);
+
+  /** A router that starts knows its configuration by then. */
+  private static final Duration COME_BACK_LATER = Duration.ofMillis(500);
+
+  /** A retry with less than this part of the objective left would hardly be answered. */
+  private static final int MIN_RETRY_PART = 4;
+
   private static final int FIRST_ERROR = 400;
   private static final int FIRST_SERVER_ERROR = 500;
   private static final double NANOS_PER_SECOND = 1e9;
+  private static final long NANOS_PER_MS = 1_000_000;
   private static final TeamName NO_TEAM = TeamName.of("anonymous");
 
   private final RouterContext router;
@@ -90,7 +100,7 @@
     }
     Optional<RoutingTable> table = router.fleet().table();
     if (table.isEmpty()) {
-      refuse(ErrorCode.NOT_READY, Duration.ofMillis(500));
+      refuse(ErrorCode.NOT_READY, COME_BACK_LATER);
     } else if (admit(table.get())) {
       submit(table.get(), now);
     }
@@ -287,7 +297,7 @@
     if (rejections <= MAX_REJECTIONS && tryRetry()) {
       resubmit("rejected with status " + status);
     } else {
-      giveUp(Duration.ofMillis(300));
+      giveUp(COME_BACK_SOON);
     }
   }
 
@@ -325,14 +335,15 @@
         return;
       }
     }
-    giveUp(Duration.ofMillis(300));
+    giveUp(COME_BACK_SOON);
   }
 
   /** Tells whether the request may run at one more upstream, and takes the retry if so. */
   private boolean mayRunAgain() {
     return route.isIdempotent()
         && runs < route.maxAttempts()
-        && ticket.deadlineNanos() - router.now() > route.latencyObjective().toNanos() / 4
+        && ticket.deadlineNanos() - router.now()
+            > route.latencyObjective().toNanos() / MIN_RETRY_PART
         && tryRetry();
   }
 
@@ -378,7 +389,7 @@
       finish(HttpResponseStatus.GATEWAY_TIMEOUT.code());
       session.breakOff();
     } else if (upstreamError != null || (!sent && verdict == Verdict.NOT_RUN)) {
-      giveUp(Duration.ofMillis(500));
+      giveUp(COME_BACK_LATER);
     } else {
       answerError(HttpResponseStatus.GATEWAY_TIMEOUT, ErrorCode.UPSTREAM_TIMEOUT);
     }
@@ -470,7 +481,7 @@
               + " parts="
               + delivery.parts()
               + " stream_ms="
-              + (outputSeen ? (now - firstOutputNanos) / 1_000_000 : 0),
+              + (outputSeen ? (now - firstOutputNanos) / NANOS_PER_MS : 0),
           now);
       trace.write(router.log(), terms == null ? "none" : terms.requestId());
     }
