--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -53,6 +53,9 @@
   /** Part of the objective that the wait for the first output may take; the rest is for the way. */
   private static final double OBJECTIVE_SHARE = 0.7;
 
+  /** Service against the team that got most, below which a large team is owed service. */
+  private static final double OWED_SHARE = 0.6;
+
   private final FleetState fleet;
   private final FailureDomain here;
 
@@ -98,10 +101,17 @@
     if (open == null || best == open) {
       return Optional.ofNullable(open).map(choice -> choice.granted(ticket));
     }
-    boolean waits = best.answersInTime || !open.answersInTime;
+    boolean waits = best.answersInTime || (!open.answersInTime && !isOwedService(ticket));
     return waits ? Optional.empty() : Optional.of(open.granted(ticket));
   }
 
+  /** A large team far behind the largest may have all its sessions at a few busy engines. */
+  private boolean isOwedService(Ticket ticket) {
+    long now = fleet.nowNanos();
+    return fleet.usage().relative(ticket.team(), now) > 1
+        && fleet.usage().toLargest(ticket.team(), now) < OWED_SHARE;
+  }
+
   private static Choice cheaper(Choice known, Choice other) {
     return known == null || other.cost < known.cost ? other : known;
   }
@@ -205,6 +215,9 @@
    * so the room above is left to the others at whichever router they are.
    */
   private long allowedBacklogNanos(TeamName team) {
+    if (fleet.usage().toLargest(team, fleet.nowNanos()) < OWED_SHARE) {
+      return MAX_BACKLOG_NANOS;
+    }
     double relative = fleet.usage().relative(team, fleet.nowNanos());
     double share = relative <= 1 ? 1 : Math.max(MIN_BACKLOG_SHARE, 1 / relative);
     return (long) (MAX_BACKLOG_NANOS * share);
--- a/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
+++ b/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
@@ -23,6 +23,7 @@
   private final Map<RouterName, Report> peers = new HashMap<>();
 
   private double mean;
+  private double largest;
   private long summaryAtNanos;
 
   private TeamUsage() {}
@@ -90,12 +91,25 @@
     return mean <= 0 ? 0 : of(team, nowNanos) / mean;
   }
 
+  /**
+   * Compares the service of a team with that of the team that got most.
+   *
+   * @param team the team
+   * @param nowNanos monotonic time
+   * @return 0 to about 1; 1 if no team got any
+   */
+  public double toLargest(TeamName team, long nowNanos) {
+    refresh(nowNanos);
+    return largest <= 0 ? 1 : of(team, nowNanos) / largest;
+  }
+
   private void refresh(long nowNanos) {
     if (nowNanos - summaryAtNanos <= SUMMARY_LIFETIME.toNanos() && summaryAtNanos != 0) {
       return;
     }
     Collection<Double> all = services(nowNanos).values();
     mean = all.stream().mapToDouble(Double::doubleValue).average().orElse(0);
+    largest = all.stream().mapToDouble(Double::doubleValue).max().orElse(0);
     summaryAtNanos = nowNanos;
   }
 
