--- a/library/src/main/java/org/dandelionbeam/routing/FleetMembers.java
+++ b/library/src/main/java/org/dandelionbeam/routing/FleetMembers.java
@@ -151,17 +151,6 @@
     return others.values().stream().map(known -> known.member).toList();
   }
 
-  /**
-   * Counts the routers that were heard lately.
-   *
-   * @param nowNanos monotonic time
-   * @return the count without this router
-   */
-  public int heardCount(long nowNanos) {
-    return (int)
-        others.values().stream().filter(known -> known.isHeard(nowNanos, SILENCE_LIMIT)).count();
-  }
-
   /**
    * Counts the routers that may hold a part of the limits over all routers.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/ReadRate.java
+++ b/library/src/main/java/org/dandelionbeam/routing/ReadRate.java
@@ -49,13 +49,4 @@
   public long nanosFor(long tokens) {
     return (long) (tokens / tokensPerMs * 1e6);
   }
-
-  /**
-   * Returns the learned rate.
-   *
-   * @return tokens per millisecond of one engine
-   */
-  public double tokensPerMs() {
-    return tokensPerMs;
-  }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
@@ -8,7 +8,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.dandelionbeam.base.FailureDomain;
 
@@ -199,16 +198,6 @@
     return known != null && nowNanos - known.coldUntilNanos < 0;
   }
 
-  /**
-   * Finds an upstream.
-   *
-   * @param id the upstream
-   * @return what it said last, empty if it is gone
-   */
-  public Optional<UpstreamInstance> find(InstanceId id) {
-    return Optional.ofNullable(tracked.get(id)).map(known -> known.instance);
-  }
-
   /**
    * Returns all known upstreams.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CallerSession.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CallerSession.java
@@ -41,7 +41,6 @@
   private RequestTask current;
   private boolean keepAlive = true;
   private boolean closing;
-  private boolean answering;
   private long activeNanos = System.nanoTime();
   private long partialSinceNanos;
   private boolean partial;
@@ -193,7 +192,6 @@
 
   /** Sends the head of an answer whose body follows in parts. */
   void answerHead(HttpResponse answer) {
-    answering = true;
     prepare(answer);
     ctx.write(answer);
   }
@@ -226,7 +224,6 @@
   private void done() {
     releaseHeld();
     current = null;
-    answering = false;
     activeNanos = System.nanoTime();
     if (!keepAlive) {
       closing = true;
@@ -264,10 +261,6 @@
     return ctx.channel().isWritable();
   }
 
-  boolean isAnswering() {
-    return answering;
-  }
-
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (current != null) {
