Routers tell each other which prompts they sent

Cause: each router knew only its own sends and took the preferred engine as a holder of every prompt, so prompts were read again at a second engine although a third one held them, and engines were taken for less loaded than they were. Change: reports bring the prompts that were sent; PromptCache replays them against a memory of the engine's size, the least recently used parts going first. Ruled out: a fixed time of holding (10 s) as before, engines under load drop parts sooner.

--- a/library/src/main/java/org/dandelionbeam/routing/FleetState.java
+++ b/library/src/main/java/org/dandelionbeam/routing/FleetState.java
@@ -50,6 +50,7 @@
       return false;
     }
     table = newer;
+    newer.engineMemoryTokens().ifPresent(cache::engineMemory);
     return true;
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -172,10 +172,7 @@
       int rank) {
     PromptShape shape = ticket.shape();
     int number = LoadBoard.numberOf(instance);
-    long held =
-        Math.min(
-            fleet.cache().heldTokens(shape, number, rank == 0, fleet.nowNanos()),
-            shape.promptTokens());
+    long held = Math.min(fleet.cache().heldTokens(shape, number), shape.promptTokens());
     long unread = shape.promptTokens() - held;
     long shared = sharedTokens(shape);
     long reread = Math.max(0, shared - held);
--- a/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
@@ -1,10 +1,10 @@
 package org.dandelionbeam.routing;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,29 +12,33 @@
 /**
  * Which engines probably hold which parts of prompts.
  *
- * <p>It knows what this router sent, and takes each part's preferred engine, which all routers
- * agree on, as a holder too. Not thread-safe.
+ * <p>It replays what this router and its peers sent to each engine against a memory of the engine's
+ * size, from which the least recently used parts are dropped as the engine drops them. Not
+ * thread-safe.
  */
 public final class PromptCache {
-  /** Enough for all sessions of some minutes; the least recently used go first. */
-  private static final int MAX_PARTS = 8_192;
+  /** Twice the engines of the largest fleet; those without requests for longest go first. */
+  private static final int MAX_ENGINES = 2_048;
 
-  /** An engine under load drops a part that was not used for some seconds. */
-  private static final Duration HOLD_TIME = Duration.ofSeconds(10);
+  /** Answers of running requests fill the rest of an engine's memory. */
+  private static final double PARTS_SHARE = 0.85;
 
   private static final float LOAD_FACTOR = 0.75f;
   private static final long MIX = 0xBF58476D1CE4E5B9L;
 
-  private final Map<Long, Map<Integer, Long>> holders =
-      new LinkedHashMap<>(MAX_PARTS / 8, LOAD_FACTOR, true) {
+  private final Map<Integer, EngineMemory> engines =
+      new LinkedHashMap<>(MAX_ENGINES / 64, LOAD_FACTOR, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Map<Integer, Long>> eldest) {
-          return size() > MAX_PARTS;
+        protected boolean removeEldestEntry(Map.Entry<Integer, EngineMemory> eldest) {
+          return size() > MAX_ENGINES;
         }
       };
 
+  private final List<SentPrompt> unreported = new ArrayList<>();
+  private long memoryTokens;
+
   private PromptCache() {}
 
   /**
@@ -47,45 +51,60 @@
   }
 
   /**
-   * Notes that an engine reads a prompt.
+   * Sets the size of an engine's memory.
+   *
+   * @param tokens tokens of prompts and answers that it holds
+   */
+  public void engineMemory(long tokens) {
+    memoryTokens = tokens;
+  }
+
+  /**
+   * Notes that this router sends a prompt to an engine.
    *
    * @param shape the prompt
    * @param engine number of the engine
-   * @param nowNanos monotonic time
    */
-  public void sent(PromptShape shape, int engine, long nowNanos) {
-    for (PromptShape.Part part : shape.parts()) {
-      holders.computeIfAbsent(part.hash(), hash -> new HashMap<>(2)).put(engine, nowNanos);
+  public void sent(PromptShape shape, int engine) {
+    if (!shape.parts().isEmpty()) {
+      SentPrompt prompt = new SentPrompt(engine, shape.parts());
+      heard(prompt);
+      unreported.add(prompt);
     }
   }
 
+  /**
+   * Notes that a peer sent a prompt to an engine.
+   *
+   * @param prompt the prompt
+   */
+  public void heard(SentPrompt prompt) {
+    engines
+        .computeIfAbsent(prompt.engine(), engine -> new EngineMemory())
+        .use(prompt.parts(), (long) (PARTS_SHARE * memoryTokens));
+  }
+
+  /**
+   * Returns the prompts that this router sent since the last call, to report them.
+   *
+   * @return the prompts in the order of their sending
+   */
+  public List<SentPrompt> takeSent() {
+    List<SentPrompt> taken = List.copyOf(unreported);
+    unreported.clear();
+    return taken;
+  }
+
   /**
    * Estimates the tokens that an engine need not read.
    *
    * @param shape the prompt
    * @param engine number of the engine
-   * @param home whether the engine is the preferred one of the prompt
-   * @param nowNanos monotonic time
    * @return tokens of the leading parts that it probably holds
    */
-  public long heldTokens(PromptShape shape, int engine, boolean home, long nowNanos) {
-    long held = 0;
-    int last = shape.parts().size() - 1;
-    for (int i = 0; i <= last; i++) {
-      PromptShape.Part part = shape.parts().get(i);
-      boolean preferred = home && i < last;
-      if (!preferred && !holds(part, engine, nowNanos)) {
-        return held;
-      }
-      held += part.tokens();
-    }
-    return held;
-  }
-
-  private boolean holds(PromptShape.Part part, int engine, long nowNanos) {
-    Map<Integer, Long> known = holders.get(part.hash());
-    Long used = known == null ? null : known.get(engine);
-    return used != null && nowNanos - used < HOLD_TIME.toNanos();
+  public long heldTokens(PromptShape shape, int engine) {
+    EngineMemory memory = engines.get(engine);
+    return memory == null ? 0 : memory.heldTokens(shape.parts());
   }
 
   /**
@@ -115,4 +134,36 @@
     mixed ^= mixed >>> Integer.SIZE;
     return mixed * MIX;
   }
+
+  /** Parts that one engine holds, the least recently used first. */
+  private static final class EngineMemory {
+    private final LinkedHashMap<Long, Long> tokensByPart = new LinkedHashMap<>();
+    private long tokens;
+
+    /** A part is of no use without those before it, so the earlier ones are kept longer. */
+    void use(List<PromptShape.Part> parts, long capacity) {
+      for (int i = parts.size() - 1; i >= 0; i--) {
+        PromptShape.Part part = parts.get(i);
+        Long known = tokensByPart.remove(part.hash());
+        tokens += part.tokens() - (known == null ? 0 : known);
+        tokensByPart.put(part.hash(), part.tokens());
+      }
+      Iterator<Long> eldest = tokensByPart.values().iterator();
+      while (tokens > capacity && eldest.hasNext()) {
+        tokens -= eldest.next();
+        eldest.remove();
+      }
+    }
+
+    long heldTokens(List<PromptShape.Part> parts) {
+      long held = 0;
+      for (PromptShape.Part part : parts) {
+        if (!tokensByPart.containsKey(part.hash())) {
+          return held;
+        }
+        held += part.tokens();
+      }
+      return held;
+    }
+  }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/RoutingTable.java
+++ b/library/src/main/java/org/dandelionbeam/routing/RoutingTable.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Stream;
 
 /** One version of the operators' configuration, ready to be asked. Immutable. */
@@ -114,6 +115,18 @@
     return services.values();
   }
 
+  /**
+   * Returns the memory of the smallest engines.
+   *
+   * @return its tokens, empty if no service has engines
+   */
+  public OptionalLong engineMemoryTokens() {
+    return services.values().stream()
+        .flatMap(service -> service.engine().stream())
+        .mapToLong(ServiceSpec.EngineSpec::memoryTokens)
+        .min();
+  }
+
   /**
    * Returns the number of routes.
    *
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/SentPrompt.java
@@ -0,0 +1,19 @@
+package org.dandelionbeam.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+
+/**
+ * A prompt that a router sent to an engine.
+ *
+ * @param engine number of the engine
+ * @param parts parts of the prompt from its beginning
+ */
+public record SentPrompt(int engine, List<PromptShape.Part> parts) {
+
+  /** Copies the parts. */
+  public SentPrompt {
+    parts = List.copyOf(requireNonNull(parts, "parts"));
+  }
+}
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
@@ -55,6 +55,7 @@
             fleet.versions(),
             true,
             fleet.loads().own(),
+            fleet.cache().takeSent(),
             withService ? fleet.usage().own(now) : Map.of()));
   }
 
@@ -65,7 +66,13 @@
     if (!changes.isEmpty()) {
       send(
           new PeerReport(
-              fleet.members().self(), serving, fleet.versions(), false, changes, Map.of()));
+              fleet.members().self(),
+              serving,
+              fleet.versions(),
+              false,
+              changes,
+              fleet.cache().takeSent(),
+              Map.of()));
     }
   }
 
@@ -98,6 +105,7 @@
       } else {
         fleet.loads().heardChanges(name, report.loads(), now);
       }
+      report.prompts().forEach(fleet.cache()::heard);
       if (!report.service().isEmpty()) {
         fleet.usage().heard(name, report.service(), now);
       }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/PeerReport.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerReport.java
@@ -1,12 +1,16 @@
 package org.dandelionbeam.routing.wiring;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.dandelionbeam.base.FailureDomain;
 import org.dandelionbeam.routing.Endpoint;
 import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.PromptShape;
 import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.SentPrompt;
 import org.dandelionbeam.routing.StoreVersions;
 import org.dandelionbeam.routing.UpstreamLoad;
 import org.msgpack.core.MessageBufferPacker;
@@ -22,6 +26,7 @@
  * @param versions versions of what it knows of the store
  * @param whole whether all its work follows, not only where it changed
  * @param loads its work in flight by number of the upstream
+ * @param prompts prompts that it sent to engines since its last report
  * @param service faded service that it gave, by number of the team
  */
 record PeerReport(
@@ -30,8 +35,9 @@
     StoreVersions versions,
     boolean whole,
     Map<Integer, UpstreamLoad> loads,
+    List<SentPrompt> prompts,
     Map<Integer, Double> service) {
-  private static final int FORMAT = 3;
+  private static final int FORMAT = 4;
 
   /** Returns the report as MessagePack. */
   byte[] encode() throws IOException {
@@ -53,6 +59,7 @@
         packer.packLong(entry.getValue().unreadTokens());
         packer.packLong(entry.getValue().memoryTokens());
       }
+      packPrompts(packer);
       packer.packMapHeader(service.size());
       for (Map.Entry<Integer, Double> entry : service.entrySet()) {
         packer.packInt(entry.getKey());
@@ -83,7 +90,8 @@
       boolean serving = unpacker.unpackBoolean();
       StoreVersions versions = new StoreVersions(unpacker.unpackLong(), unpacker.unpackLong());
       boolean whole = unpacker.unpackBoolean();
-      return new PeerReport(sender, serving, versions, whole, loads(unpacker), service(unpacker));
+      return new PeerReport(
+          sender, serving, versions, whole, loads(unpacker), prompts(unpacker), service(unpacker));
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("not a report", e);
     }
@@ -101,6 +109,33 @@
     return loads;
   }
 
+  private void packPrompts(MessageBufferPacker packer) throws IOException {
+    packer.packArrayHeader(prompts.size());
+    for (SentPrompt prompt : prompts) {
+      packer.packInt(prompt.engine());
+      packer.packArrayHeader(prompt.parts().size());
+      for (PromptShape.Part part : prompt.parts()) {
+        packer.packLong(part.hash());
+        packer.packLong(part.tokens());
+      }
+    }
+  }
+
+  private static List<SentPrompt> prompts(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackArrayHeader();
+    List<SentPrompt> prompts = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      int engine = unpacker.unpackInt();
+      int count = unpacker.unpackArrayHeader();
+      List<PromptShape.Part> parts = new ArrayList<>();
+      for (int j = 0; j < count; j++) {
+        parts.add(new PromptShape.Part(unpacker.unpackLong(), unpacker.unpackLong()));
+      }
+      prompts.add(new SentPrompt(engine, parts));
+    }
+    return prompts;
+  }
+
   private static Map<Integer, Double> service(MessageUnpacker unpacker) throws IOException {
     int size = unpacker.unpackMapHeader();
     Map<Integer, Double> service = new HashMap<>();
--- a/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
@@ -108,6 +108,31 @@
     assertTrue(reread <= 2 * sessions * 600, "tokens of shared parts read: " + reread);
   }
 
+  /** Long shared parts fill the engines' memory, and callers of one session use any router. */
+  @Test(dataProvider = "seeds")
+  public void longSharedPartsAreReadOnceWhileTheirHomesAreBusy(long seed) {
+    VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
+    Random random = new Random(seed);
+    int sessions = 60;
+    int sent = 0;
+    for (int ms = 0; ms < SECONDS * 1_000; ms++) {
+      if (random.nextDouble() < 0.055) {
+        sent++;
+        String session = "s" + (int) (sessions * random.nextDouble() * random.nextDouble());
+        PromptShape shape = VirtualFleet.prompt(session, 5_000, 2_000, "u" + random.nextLong());
+        fleet.router(random.nextInt(ROUTERS)).submit("team", shape, OBJECTIVE_MS);
+      }
+      fleet.step();
+    }
+
+    long reread = 0;
+    for (int i = 0; i < fleet.routerCount(); i++) {
+      reread += fleet.router(i).rereadTokens;
+    }
+    long firstReads = sessions * 5_000L;
+    assertTrue(reread < 2 * firstReads, sent + " sent, shared tokens read: " + reread);
+  }
+
   @Test(dataProvider = "seeds")
   public void hotPartGetsASecondHomeBeforeTheFirstDrowns(long seed) {
     VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
--- a/library/src/test/java/org/dandelionbeam/routing/VirtualFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/VirtualFleet.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.dandelionbeam.base.FailureDomain;
 
 /**
@@ -20,6 +20,7 @@
   static final long MS = 1_000_000L;
   static final FleetLimits LIMITS = new FleetLimits(0.2, 54, Duration.ofSeconds(10), 1.5, 5);
 
+  private static final long ENGINE_MEMORY_TOKENS = 200_000;
   private static final int REPORT_MS = 100;
   private static final int DELAY_MS = 2;
   private static final int POLL_MS = 12;
@@ -63,7 +64,7 @@
                 500,
                 Duration.ofSeconds(3),
                 11,
-                Optional.of(new ServiceSpec.EngineSpec(96, 200_000))))
+                Optional.of(new ServiceSpec.EngineSpec(96, ENGINE_MEMORY_TOKENS))))
         .build();
   }
 
@@ -196,9 +197,11 @@
 
     private void reportChanges() {
       Map<Integer, UpstreamLoad> changes = state.loads().takeChanges();
+      List<SentPrompt> prompts = state.cache().takeSent();
       for (Router other : routers) {
         if (other != this && !changes.isEmpty()) {
           other.state.loads().heardChanges(name, changes, nowMs * MS);
+          prompts.forEach(other.state.cache()::heard);
         }
       }
     }
@@ -212,11 +215,20 @@
   /** Prompts that an engine still reads, and the first parts that it holds. */
   private static final class Engine {
     private final List<Work> queue = new ArrayList<>();
-    private final Set<Long> held = new HashSet<>();
+    private final Map<Long, Long> held = new LinkedHashMap<>();
 
     long unreadOf(PromptShape shape) {
-      boolean holds = !held.add(shape.parts().get(0).hash());
-      return shape.promptTokens() - (holds ? shape.parts().get(0).tokens() : 0);
+      PromptShape.Part first = shape.parts().get(0);
+      PromptShape.Part own = shape.parts().get(1);
+      boolean holds = held.remove(first.hash()) != null;
+      held.put(own.hash(), own.tokens());
+      held.put(first.hash(), first.tokens());
+      long kept = held.values().stream().mapToLong(Long::longValue).sum();
+      for (Iterator<Long> eldest = held.values().iterator(); kept > ENGINE_MEMORY_TOKENS; ) {
+        kept -= eldest.next();
+        eldest.remove();
+      }
+      return shape.promptTokens() - (holds ? first.tokens() : 0);
     }
   }
 
