A stream that may be resumed goes on at another upstream within one answer

Cause: an engine that broke off in mid-stream ended the answer, although the route says that the stream may be resumed. Change: such streams are passed on in whole events (EventSplitter); when the upstream breaks off, the request goes to another one with the last event's id, under the route's attempts and the retry budget. What became of the sends of a request stands in Attempts. A request that failed once waits anew, counted from the failure.

--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -113,7 +113,7 @@
       if (granted.isPresent()) {
         queue.remove(ticket);
         decisions.add(granted.get());
-      } else if (fleet.nowNanos() - ticket.arrivedNanos() > maxWaitNanos(ticket)) {
+      } else if (fleet.nowNanos() - ticket.submittedNanos() > maxWaitNanos(ticket)) {
         queue.remove(ticket);
         decisions.add(refused(ticket, Decision.RefusalReason.WAITED_TOO_LONG));
       }
--- a/library/src/main/java/org/dandelionbeam/routing/Ticket.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Ticket.java
@@ -16,6 +16,7 @@
   private final long deadlineNanos;
   private final long patienceNanos;
   private final Set<InstanceId> excluded = new HashSet<>();
+  private long submittedNanos;
 
   private Ticket(Builder builder) {
     number = builder.number;
@@ -23,6 +24,7 @@
     team = requireNonNull(builder.team, "team");
     shape = requireNonNull(builder.shape, "shape");
     arrivedNanos = builder.arrivedNanos;
+    submittedNanos = builder.arrivedNanos;
     objectiveNanos = builder.objectiveNanos;
     deadlineNanos = builder.deadlineNanos;
     patienceNanos = Math.min(builder.patienceNanos, builder.deadlineNanos - builder.arrivedNanos);
@@ -83,6 +85,24 @@
     return arrivedNanos;
   }
 
+  /**
+   * Notes that an upstream failed the request and that it waits for another one.
+   *
+   * @param nowNanos monotonic time
+   */
+  public void resubmitted(long nowNanos) {
+    submittedNanos = nowNanos;
+  }
+
+  /**
+   * Returns since when the request waits for an upstream.
+   *
+   * @return monotonic time, that of the arrival or of the last failure
+   */
+  public long submittedNanos() {
+    return submittedNanos;
+  }
+
   /**
    * Returns until when an answer has its full value.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/AnswerDelivery.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/AnswerDelivery.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
 
 /**
  * The answer of one upstream on its way to the caller.
@@ -29,12 +30,28 @@
   private ByteBuf buffered;
   private boolean relaying;
   private int parts;
+  private Optional<EventSplitter> splitter = Optional.empty();
 
   AnswerDelivery(CallerSession session, HttpDialect dialect) {
     this.session = requireNonNull(session, "session");
     this.dialect = requireNonNull(dialect, "dialect");
   }
 
+  /** Passes on whole events only, so that the stream may go on at another upstream. */
+  void splitEvents() {
+    splitter = Optional.of(new EventSplitter());
+  }
+
+  /** Tells whether another upstream can take up the answer where this one broke off. */
+  boolean canContinue() {
+    return !relaying || splitter.map(EventSplitter::canContinue).orElse(false);
+  }
+
+  /** Returns the id of the last event that the caller got, empty if it got none. */
+  Optional<String> lastEventId() {
+    return splitter.flatMap(EventSplitter::lastId);
+  }
+
   /** Starts with the head of an upstream's answer. */
   void begin(HttpResponse newHead) {
     head = newHead;
@@ -61,13 +78,33 @@
       startRelay();
     }
     if (relaying) {
-      session.answerPart(part);
+      relay(part);
     } else {
       buffered = buffered == null ? part.alloc().heapBuffer(part.readableBytes()) : buffered;
       buffered.writeBytes(part);
     }
   }
 
+  private void relay(ByteBuf part) {
+    if (splitter.isEmpty()) {
+      session.answerPart(part);
+    } else {
+      passOn(splitter.get().wholeEvents(part));
+    }
+  }
+
+  private void passOn(ByteBuf events) {
+    if (events.isReadable()) {
+      session.answerPart(events);
+    }
+    events.release();
+  }
+
+  /** Passes on what is left of a stream that is whole. */
+  void addRest() {
+    splitter.ifPresent(events -> passOn(events.rest()));
+  }
+
   private int bufferedBytes() {
     return buffered == null ? 0 : buffered.readableBytes();
   }
@@ -80,7 +117,7 @@
     answer.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     session.answerHead(answer);
     if (buffered != null) {
-      session.answerPart(buffered);
+      relay(buffered);
       drop();
     }
   }
@@ -103,5 +140,6 @@
       buffered.release();
       buffered = null;
     }
+    splitter.ifPresent(EventSplitter::dropPartialEvent);
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
@@ -72,8 +72,10 @@
    * @param expected upstream that the request is for
    * @param left time that is left
    * @param team team that holds the caller's key, empty if the caller needs none
+   * @param lastEventId last event of the stream that the caller got from another upstream
    */
-  record UpstreamTerms(InstanceId expected, Duration left, Optional<TeamName> team) {}
+  record UpstreamTerms(
+      InstanceId expected, Duration left, Optional<TeamName> team, Optional<String> lastEventId) {}
 
   /**
    * What an upstream says of its answer.
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -35,21 +35,12 @@
   /** Callers that don't say how long they wait get this long. */
   private static final Duration DEFAULT_PATIENCE = Duration.ofSeconds(30);
 
-  /** Sends of one request that upstreams reject; more would only load them further. */
-  private static final int MAX_REJECTIONS = 2;
-
-  /** Upstreams of one request that can't be reached, before it is refused. */
-  private static final int MAX_CONNECT_FAILURES = 4;
-
   /** Another upstream is mostly free by then. */
   private static final Duration COME_BACK_SOON = Duration.ofMillis(300);
 
   /** A router that starts knows its configuration by then. */
   private static final Duration COME_BACK_LATER = Duration.ofMillis(500);
 
-  /** A retry with less than this part of the objective left would hardly be answered. */
-  private static final int MIN_RETRY_PART = 4;
-
   private static final int FIRST_ERROR = 400;
   private static final int FIRST_SERVER_ERROR = 500;
   private static final double NANOS_PER_SECOND = 1e9;
@@ -69,14 +60,12 @@
   private Future<?> timer;
   private Decision.Granted grant;
   private UpstreamExchange exchange;
-  private Verdict verdict = Verdict.NOT_RUN;
-  private int runs;
-  private int rejections;
-  private int connectFailures;
+  private final Attempts attempts = new Attempts();
   private long sentNanos;
   private boolean outputSeen;
   private long firstOutputNanos;
   private final AnswerDelivery delivery;
+  private int upstreamStatus;
   private boolean rejected;
   private FullHttpResponse upstreamError;
   private boolean over;
@@ -133,6 +122,9 @@
         Math.min(route.timeout().toNanos(), terms.patience().orElse(DEFAULT_PATIENCE).toNanos());
     long objective = Math.min(route.latencyObjective().toNanos(), patience);
     boolean streams = route.kind() == RouteKind.STREAMING;
+    if (streams && route.isIdempotent()) {
+      delivery.splitEvents();
+    }
     ticket =
         Ticket.builder(router.nextTicket())
             .patience(streams ? route.firstOutputPatience().toNanos() : patience)
@@ -166,7 +158,7 @@
     long now = router.tick();
     int number = LoadBoard.numberOf(granted.instance());
     trace.granted(granted, router.fleet().loads().total(number, now).inFlight(), now);
-    if (runs + rejections + connectFailures == 0) {
+    if (attempts.isNone()) {
       router.metrics().dispatch(route.kind().name(), now - arrivedNanos);
     }
     sentNanos = now;
@@ -180,7 +172,7 @@
   private FullHttpRequest upstreamRequest(long now) {
     Duration left = Duration.ofNanos(Math.max(1, ticket.deadlineNanos() - now));
     HttpDialect.UpstreamTerms added =
-        new HttpDialect.UpstreamTerms(grant.instance().id(), left, team);
+        new HttpDialect.UpstreamTerms(grant.instance().id(), left, team, delivery.lastEventId());
     HttpHeaders headers = router.dialect().upstreamHeaders(head, added);
     FullHttpRequest request =
         new DefaultFullHttpRequest(
@@ -197,16 +189,19 @@
 
   @Override
   public void head(HttpResponse newHead, HttpDialect.AnswerTerms answer) {
-    delivery.begin(newHead);
-    int status = newHead.status().code();
-    rejected = answer.notRun() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    upstreamStatus = newHead.status().code();
+    rejected = answer.notRun() || upstreamStatus == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    boolean continues = delivery.isRelaying();
+    if (!continues) {
+      delivery.begin(newHead);
+    }
     answer
         .coldRemaining()
         .ifPresent(cold -> router.fleet().upstreams().turnedCold(id(), cold, router.now()));
-    if (!rejected && !answer.sealed()) {
-      trace.step("unsigned_answer", "status=" + status, router.now());
+    if (!rejected && (!answer.sealed() || (continues && upstreamStatus >= FIRST_ERROR))) {
+      trace.step("unusable_answer", "status=" + upstreamStatus, router.now());
       exchange.abandon();
-      failed(Verdict.MAY_HAVE_RUN, "unsigned answer with status " + status);
+      failed(Verdict.MAY_HAVE_RUN, "unusable answer with status " + upstreamStatus);
     }
   }
 
@@ -235,7 +230,7 @@
       Duration elapsed = Duration.ofNanos(router.now() - sentNanos);
       router.scheduler().firstOutput(grant, elapsed);
       router.loadChanged();
-      trace.step("first_output", "status=" + delivery.status(), router.now());
+      trace.step("first_output", "status=" + upstreamStatus, router.now());
       router.pollSoon();
     }
   }
@@ -263,13 +258,13 @@
       rejectedBy();
       return;
     }
-    int status = delivery.status();
+    int status = upstreamStatus;
     router.fleet().health().answered(id(), status < FIRST_SERVER_ERROR);
     ticket.exclude(id());
     endGrant();
-    runs++;
-    verdict = verdict.join(Verdict.RAN);
+    attempts.ran(Verdict.RAN);
     if (delivery.isRelaying()) {
+      delivery.addRest();
       finish(status);
       session.answerEnd();
       return;
@@ -284,7 +279,7 @@
   }
 
   private void rejectedBy() {
-    int status = delivery.status();
+    int status = upstreamStatus;
     boolean misdirected = status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
     trace.step("rejected", "status=" + status + " upstream=" + id(), router.now());
     router.metrics().count("upstream_rejections", "status", Integer.toString(status));
@@ -293,8 +288,7 @@
     }
     ticket.exclude(id());
     endGrant();
-    rejections++;
-    if (rejections <= MAX_REJECTIONS && tryRetry()) {
+    if (attempts.rejected() && tryRetry()) {
       resubmit("rejected with status " + status);
     } else {
       giveUp(COME_BACK_SOON);
@@ -316,35 +310,22 @@
     ticket.exclude(id());
     endGrant();
     delivery.drop();
-    if (delivery.isRelaying()) {
-      finish(HttpResponseStatus.BAD_GATEWAY.code());
-      session.breakOff();
-      return;
-    }
-    if (failure == Verdict.NOT_RUN) {
-      connectFailures++;
-      if (connectFailures <= MAX_CONNECT_FAILURES) {
-        resubmit("not connected");
-        return;
-      }
+    if (failure == Verdict.NOT_RUN ? attempts.notConnected() : mayRunAgainAfter(failure)) {
+      resubmit(failure == Verdict.NOT_RUN ? "not connected" : "broken off");
     } else {
-      runs++;
-      verdict = verdict.join(failure);
-      if (mayRunAgain()) {
-        resubmit("broken off");
-        return;
-      }
+      giveUp(COME_BACK_SOON);
     }
-    giveUp(COME_BACK_SOON);
+  }
+
+  private boolean mayRunAgainAfter(Verdict failure) {
+    attempts.ran(failure);
+    return delivery.canContinue() && mayRunAgain();
   }
 
   /** Tells whether the request may run at one more upstream, and takes the retry if so. */
   private boolean mayRunAgain() {
-    return route.isIdempotent()
-        && runs < route.maxAttempts()
-        && ticket.deadlineNanos() - router.now()
-            > route.latencyObjective().toNanos() / MIN_RETRY_PART
-        && tryRetry();
+    Duration left = Duration.ofNanos(ticket.deadlineNanos() - router.now());
+    return attempts.mayRunAgain(route, left) && tryRetry();
   }
 
   private boolean tryRetry() {
@@ -362,16 +343,20 @@
   private void resubmit(String why) {
     trace.step("resubmitted", why, router.now());
     router.metrics().count("retries", "service", ticket.service().text());
+    ticket.resubmitted(router.now());
     decide(router.scheduler().submit(ticket));
   }
 
   /** Ends a request that gets no further upstream. */
   private void giveUp(Duration retryAfter) {
-    if (upstreamError != null) {
+    if (delivery.isRelaying()) {
+      finish(HttpResponseStatus.BAD_GATEWAY.code());
+      session.breakOff();
+    } else if (upstreamError != null) {
       FullHttpResponse answer = upstreamError;
       upstreamError = null;
       deliver(answer);
-    } else if (verdict == Verdict.NOT_RUN) {
+    } else if (attempts.verdict() == Verdict.NOT_RUN) {
       refuse(ErrorCode.NO_UPSTREAM, retryAfter);
     } else {
       answerError(HttpResponseStatus.BAD_GATEWAY, ErrorCode.UPSTREAM_FAILED);
@@ -388,7 +373,7 @@
     if (delivery.isRelaying()) {
       finish(HttpResponseStatus.GATEWAY_TIMEOUT.code());
       session.breakOff();
-    } else if (upstreamError != null || (!sent && verdict == Verdict.NOT_RUN)) {
+    } else if (upstreamError != null || (!sent && attempts.verdict() == Verdict.NOT_RUN)) {
       giveUp(COME_BACK_LATER);
     } else {
       answerError(HttpResponseStatus.GATEWAY_TIMEOUT, ErrorCode.UPSTREAM_TIMEOUT);
@@ -400,7 +385,7 @@
     if (over) {
       return;
     }
-    trace.step("caller_left", "verdict=" + verdict, router.now());
+    trace.step("caller_left", "verdict=" + attempts.verdict(), router.now());
     abandon();
     finish(0);
   }
@@ -477,7 +462,7 @@
           "status="
               + status
               + " runs="
-              + runs
+              + attempts.runs()
               + " parts="
               + delivery.parts()
               + " stream_ms="
