--- a/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Map;
 import java.util.Random;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -133,29 +134,35 @@
     assertTrue(reread < 2 * firstReads, sent + " sent, shared tokens read: " + reread);
   }
 
-  /** More is asked than the engines can read, and some homes are asked more than others. */
-  @Test(dataProvider = "seeds")
-  public void overloadDoesNotSpreadLongSharedPartsOverBusyEngines(long seed) {
-    VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
-    Random random = new Random(seed);
-    int sessions = 80;
-    for (int ms = 0; ms < SECONDS * 1_000; ms++) {
-      if (random.nextDouble() < 0.12) {
-        String session = "s" + (int) (sessions * random.nextDouble() * random.nextDouble());
-        PromptShape shape = VirtualFleet.prompt(session, 6_000, 2_000, "u" + random.nextLong());
-        String team = "team-" + random.nextInt(8);
-        fleet.router(random.nextInt(ROUTERS)).submit(team, shape, OBJECTIVE_MS);
-      }
-      fleet.step();
-    }
+  @DataProvider
+  public Object[][] otherEngines() {
+    return new Object[][] {{0, true}, {3_000, false}, {6_000, false}};
+  }
 
-    long read = 0;
-    for (int i = 0; i < fleet.routerCount(); i++) {
-      read += fleet.router(i).rereadTokens;
+  /** Overload in which the engine that holds a long shared part has a long backlog. */
+  @Test(dataProvider = "otherEngines")
+  public void busyEngineDoesNotReadAgainWhatAnotherOneHolds(int backlogTokens, boolean granted) {
+    VirtualFleet fleet = new VirtualFleet(1, 2, TOKENS_PER_MS);
+    VirtualFleet.Router router = fleet.router(0);
+    PromptShape shape = VirtualFleet.prompt("session", 6_000, 2_000, "first");
+    Decision first = router.submit("team", shape, 1_000);
+    int holder = LoadBoard.numberOf(((Decision.Granted) first).instance());
+    int other = 0;
+    for (UpstreamInstance engine : router.state.upstreams().usable(VirtualFleet.MODEL)) {
+      other = LoadBoard.numberOf(engine) == holder ? other : LoadBoard.numberOf(engine);
     }
-    long capacity = (long) (ENGINES * TOKENS_PER_MS * SECONDS * 1_000);
-    long firstReads = sessions * 6_000L;
-    assertTrue(read - firstReads < capacity / 8, "shared tokens read: " + read);
+    Map<Integer, UpstreamLoad> busy =
+        Map.of(
+            holder,
+            new UpstreamLoad(8, 30_000, 30_000),
+            other,
+            new UpstreamLoad(1, backlogTokens, backlogTokens));
+    router.state.loads().heard(RouterName.of("peer"), busy, fleet.nowMs() * VirtualFleet.MS);
+
+    PromptShape second = VirtualFleet.prompt("session", 6_000, 2_000, "second");
+    Decision decision = router.submit("team", second, 1_000);
+
+    assertEquals(decision instanceof Decision.Granted, granted, decision.toString());
   }
 
   @Test(dataProvider = "seeds")
