Service of teams is forgotten within a second

Ruled out: engines (all at 28 to 30 tokens a ms), the order of teams at one router. Change: half-life 600 ms, peers' service fades between reports, which bring it each 200 ms. Test: largeTeamKeepsItsShareWhenAnotherOneComes failed before (109 to 113 requests against 241 to 243 in four seconds).

--- a/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
+++ b/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
@@ -11,8 +11,11 @@
  * <p>Service fades, so that a team's idle time earns no lasting claim. Not thread-safe.
  */
 public final class TeamUsage {
-  /** Half of the service is forgotten after half the window in which teams are compared. */
-  private static final Duration HALF_LIFE = Duration.ofSeconds(2);
+  /**
+   * Teams have their share in each few seconds. A longer memory would make a team that was alone
+   * pay for it when another one comes.
+   */
+  private static final Duration HALF_LIFE = Duration.ofMillis(600);
 
   private static final Duration PEER_REPORT_LIFETIME = Duration.ofSeconds(2);
 
@@ -73,7 +76,7 @@
     double sum = here == null ? 0 : here.at(nowNanos);
     for (Report report : peers.values()) {
       if (nowNanos - report.atNanos < PEER_REPORT_LIFETIME.toNanos()) {
-        sum += report.service.getOrDefault(number, 0.0);
+        sum += report.at(number, nowNanos);
       }
     }
     return sum;
@@ -118,7 +121,10 @@
     own.forEach((team, faded) -> all.merge(team, faded.at(nowNanos), Double::sum));
     for (Report report : peers.values()) {
       if (nowNanos - report.atNanos < PEER_REPORT_LIFETIME.toNanos()) {
-        report.service.forEach((team, service) -> all.merge(team, service, Double::sum));
+        report
+            .service
+            .keySet()
+            .forEach(team -> all.merge(team, report.at(team, nowNanos), Double::sum));
       }
     }
     return all;
@@ -141,12 +147,21 @@
     return team.text().hashCode();
   }
 
-  private record Report(Map<Integer, Double> service, long atNanos) {}
+  private static double faded(double amount, long sinceNanos, long nowNanos) {
+    return amount * Math.pow(0.5, (nowNanos - sinceNanos) / (double) HALF_LIFE.toNanos());
+  }
+
+  /** What a peer gave, as of its last report. */
+  private record Report(Map<Integer, Double> service, long atNanos) {
+    double at(int team, long nowNanos) {
+      return faded(service.getOrDefault(team, 0.0), atNanos, nowNanos);
+    }
+  }
 
   /** An amount that halves each half-life. */
   private record Faded(double amount, long atNanos) {
     double at(long nowNanos) {
-      return amount * Math.pow(0.5, (nowNanos - atNanos) / (double) HALF_LIFE.toNanos());
+      return faded(amount, atNanos, nowNanos);
     }
 
     Faded plus(double more, long nowNanos) {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
@@ -20,8 +20,8 @@
 
 /** Exchanges reports between routers by datagrams; a lost one is followed by the next. */
 final class PeerLink {
-  /** Service fades slowly, so only one report in so many brings it. */
-  private static final int SERVICE_EVERY = 5;
+  /** Service fades within some reports, so not each of them brings it. */
+  private static final int SERVICE_EVERY = 2;
 
   private final RouterContext router;
   private Channel channel;
--- a/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
@@ -71,6 +71,28 @@
     assertTrue(larger > 0.6 * large, "served " + large + " and " + larger);
   }
 
+  /** Several large teams by turns: one was alone for a while, then another one comes. */
+  @Test(dataProvider = "seeds")
+  public void largeTeamKeepsItsShareWhenAnotherOneComes(long seed) {
+    VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
+    Random random = new Random(seed);
+    for (int ms = 0; ms < 6_000; ms++) {
+      arrive(fleet, random, "first", 160, 2_000);
+      fleet.step();
+    }
+    int before = fleet.sum(router -> router.served, "first");
+    for (int ms = 0; ms < 4_000; ms++) {
+      arrive(fleet, random, "first", 160, 2_000);
+      arrive(fleet, random, "second", 160, 2_000);
+      fleet.step();
+    }
+
+    int first = fleet.sum(router -> router.served, "first") - before;
+    int second = fleet.sum(router -> router.served, "second");
+    assertTrue(first > 0.6 * second, "served in four seconds: " + first + " and " + second);
+    assertTrue(second > 0.6 * first, "served in four seconds: " + first + " and " + second);
+  }
+
   @Test(dataProvider = "seeds")
   public void largeTeamWithFewSessionsIsNotHeldBackByItsEngines(long seed) {
     VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
