--- a/daemon/src/main/java/org/dandelionbeam/daemon/cli/ClientCommands.java
+++ b/daemon/src/main/java/org/dandelionbeam/daemon/cli/ClientCommands.java
@@ -65,11 +65,12 @@
                     + " header of its answer. A router remembers the last requests only.")
             .examples("dandelionbeam explain r-42 --key-file operator.key")
             .build();
-    return command(
-        "explain",
-        summary,
-        help,
-        arguments -> get(arguments, List.of("REQUEST"), "/explain/" + wordAt(arguments, 0)));
+    return new ExplainCommand(
+        command(
+            "explain",
+            summary,
+            help,
+            arguments -> get(arguments, List.of("REQUEST"), "/explain/" + wordAt(arguments, 0))));
   }
 
   private Command addresses() {
