A shared part that no engine holds goes to the engine that read least lately

Cause: prompts have two shared parts; the first is the same for many sessions. With reports of all prompts, a new session went to an engine that held its first part, as reading that again weighs 15 times; sessions gathered there until it had no room. Change: if no engine holds all shared parts, none counts as read again; the cost grows with what the engine read in the last seconds. Test: newSessionsSpreadEvenlyAlthoughTheyShareALongFirstPart.

--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -26,6 +26,9 @@
   /** Makes all routers choose the same next engine when the preferred one has no room. */
   private static final long RANK_TOKENS = 300;
 
+  /** Makes an eighth more work than others got lately outweigh a few ranks. */
+  private static final double NEW_HOME_WEIGHT = 0.1;
+
   /** Tokens that the bytes of a request between failure domains are worth. */
   private static final long OTHER_DOMAIN_TOKENS = 200;
 
@@ -140,8 +143,9 @@
     for (UpstreamInstance instance : candidates) {
       held = Math.max(held, fleet.cache().heldTokens(shape, LoadBoard.numberOf(instance)));
     }
+    long shared = shape.sharedTokens();
     return new PromptHolders(
-        PromptCache.ranks(shape, numbers), Math.min(held, shape.sharedTokens()));
+        PromptCache.ranks(shape, numbers), Math.min(held, shared), held < shared);
   }
 
   /**
@@ -149,9 +153,15 @@
    *
    * @param ranks order in which all routers prefer the engines
    * @param sharedHeld tokens of shared parts that the engine with most of them holds
+   * @param isNew whether no engine holds all shared parts, so that one must read them
    */
-  private record PromptHolders(Map<Integer, Integer> ranks, long sharedHeld) {
-    private static final PromptHolders NONE = new PromptHolders(Map.of(), 0);
+  private record PromptHolders(Map<Integer, Integer> ranks, long sharedHeld, boolean isNew) {
+    private static final PromptHolders NONE = new PromptHolders(Map.of(), 0, false);
+
+    /** Tokens to read again because the request doesn't go to the engine that holds them. */
+    long rereadAt(long held) {
+      return isNew ? 0 : Math.max(0, sharedHeld - held);
+    }
 
     int rankOf(int engine) {
       return ranks.getOrDefault(engine, 1);
@@ -204,7 +214,7 @@
     int number = LoadBoard.numberOf(instance);
     long held = Math.min(fleet.cache().heldTokens(shape, number), shape.promptTokens());
     long unread = shape.promptTokens() - held;
-    long reread = Math.max(0, holders.sharedHeld() - held);
+    long reread = holders.rereadAt(held);
     long memory =
         shape.promptTokens() - Math.min(held, shape.sharedTokens()) + shape.outputTokens();
     ReadRate rate = fleet.readRate(ticket.service());
@@ -214,7 +224,7 @@
         load.unreadTokens()
             + unread
             + (REREAD_FACTOR - 1) * reread
-            + RANK_TOKENS * holders.rankOf(number)
+            + newHomeCost(holders, number)
             + ERROR_TOKENS * fleet.health().errorRate(instance.id());
     choice.otherDomainCost = OTHER_DOMAIN_TOKENS;
     choice.hasRoom =
@@ -227,6 +237,20 @@
     return choice;
   }
 
+  /**
+   * Returns the cost by which all routers choose the same engine for a prompt.
+   *
+   * <p>A shared part that no engine holds is read by one of the engines that all routers prefer for
+   * it, the one with less to read lately, so that engines get even shares of the shared parts.
+   */
+  private double newHomeCost(PromptHolders holders, int engine) {
+    double cost = RANK_TOKENS * holders.rankOf(engine);
+    if (!holders.isNew()) {
+      return cost;
+    }
+    return cost + NEW_HOME_WEIGHT * fleet.cache().recentlyRead(engine, fleet.nowNanos());
+  }
+
   /**
    * Returns the backlog up to which a team's requests go to an engine.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
@@ -1,5 +1,6 @@
 package org.dandelionbeam.routing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -23,6 +24,9 @@
   /** Answers of running requests fill the rest of an engine's memory. */
   private static final double PARTS_SHARE = 0.85;
 
+  /** Long against the time between two requests with the same part, short against a day's waves. */
+  private static final Duration READ_HALF_LIFE = Duration.ofSeconds(4);
+
   private static final float LOAD_FACTOR = 0.75f;
   private static final long MIX = 0xBF58476D1CE4E5B9L;
 
@@ -64,11 +68,12 @@
    *
    * @param shape the prompt
    * @param engine number of the engine
+   * @param nowNanos monotonic time
    */
-  public void sent(PromptShape shape, int engine) {
+  public void sent(PromptShape shape, int engine, long nowNanos) {
     if (!shape.parts().isEmpty()) {
       SentPrompt prompt = new SentPrompt(engine, shape.parts());
-      heard(prompt);
+      heard(prompt, nowNanos);
       unreported.add(prompt);
     }
   }
@@ -77,11 +82,26 @@
    * Notes that a peer sent a prompt to an engine.
    *
    * @param prompt the prompt
+   * @param nowNanos monotonic time
+   */
+  public void heard(SentPrompt prompt, long nowNanos) {
+    EngineMemory memory =
+        engines.computeIfAbsent(prompt.engine(), engine -> new EngineMemory(nowNanos));
+    long unread = prompt.tokens() - memory.heldTokens(prompt.parts());
+    memory.read(unread, nowNanos);
+    memory.use(prompt.parts(), (long) (PARTS_SHARE * memoryTokens));
+  }
+
+  /**
+   * Returns how much an engine had to read lately.
+   *
+   * @param engine number of the engine
+   * @param nowNanos monotonic time
+   * @return tokens, of which half is forgotten every few seconds
    */
-  public void heard(SentPrompt prompt) {
-    engines
-        .computeIfAbsent(prompt.engine(), engine -> new EngineMemory())
-        .use(prompt.parts(), (long) (PARTS_SHARE * memoryTokens));
+  public double recentlyRead(int engine, long nowNanos) {
+    EngineMemory memory = engines.get(engine);
+    return memory == null ? 0 : memory.recentlyRead(nowNanos);
   }
 
   /**
@@ -139,6 +159,22 @@
   private static final class EngineMemory {
     private final LinkedHashMap<Long, Long> tokensByPart = new LinkedHashMap<>();
     private long tokens;
+    private double readTokens;
+    private long readAtNanos;
+
+    EngineMemory(long nowNanos) {
+      readAtNanos = nowNanos;
+    }
+
+    void read(long unread, long nowNanos) {
+      readTokens = recentlyRead(nowNanos) + unread;
+      readAtNanos = nowNanos;
+    }
+
+    double recentlyRead(long nowNanos) {
+      double halves = (nowNanos - readAtNanos) / (double) READ_HALF_LIFE.toNanos();
+      return readTokens * Math.pow(0.5, halves);
+    }
 
     /** A part is of no use without those before it, so the earlier ones are kept longer. */
     void use(List<PromptShape.Part> parts, long capacity) {
--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -161,7 +161,7 @@
     int number = LoadBoard.numberOf(grant.instance());
     fleet.loads().add(number, grant.work());
     fleet.coldPace().sent(grant.instance().id(), fleet.nowNanos());
-    fleet.cache().sent(ticket.shape(), number);
+    fleet.cache().sent(ticket.shape(), number, fleet.nowNanos());
     long cost = ticket.shape().isModelRequest() ? ticket.shape().costTokens() : 1;
     fleet.usage().served(ticket.team(), cost, fleet.nowNanos());
   }
--- a/library/src/main/java/org/dandelionbeam/routing/SentPrompt.java
+++ b/library/src/main/java/org/dandelionbeam/routing/SentPrompt.java
@@ -16,4 +16,13 @@
   public SentPrompt {
     parts = List.copyOf(requireNonNull(parts, "parts"));
   }
+
+  /**
+   * Returns the size of the prompt.
+   *
+   * @return tokens of all parts
+   */
+  public long tokens() {
+    return parts.stream().mapToLong(PromptShape.Part::tokens).sum();
+  }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
@@ -105,7 +105,7 @@
       } else {
         fleet.loads().heardChanges(name, report.loads(), now);
       }
-      report.prompts().forEach(fleet.cache()::heard);
+      report.prompts().forEach(prompt -> fleet.cache().heard(prompt, now));
       if (!report.service().isEmpty()) {
         fleet.usage().heard(name, report.service(), now);
       }
--- a/library/src/test/java/org/dandelionbeam/routing/FleetBeliefsTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/FleetBeliefsTest.java
@@ -93,7 +93,8 @@
     usage.heard(RouterName.of("2"), Map.of("red".hashCode(), 40.0), 0);
 
     assertEquals(usage.of(team, 0), 140.0, 0.01);
-    assertEquals(usage.of(team, 2_000 * MS), 50.0, 0.01);
+    assertEquals(usage.of(team, 600 * MS), 70.0, 0.01);
+    assertEquals(usage.of(team, 2_400 * MS), 100.0 / 16, 0.01, "the peer is silent too long");
   }
 
   @Test
--- a/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
@@ -3,6 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.testng.annotations.DataProvider;
@@ -187,6 +190,34 @@
     assertEquals(decision instanceof Decision.Granted, granted, decision.toString());
   }
 
+  /** Sessions that begin with the same long part must not gather at the engine that has it. */
+  @Test(dataProvider = "seeds")
+  public void newSessionsSpreadEvenlyAlthoughTheyShareALongFirstPart(long seed) {
+    VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
+    Random random = new Random(seed);
+    Map<InstanceId, Integer> sessions = new HashMap<>();
+    long common = PromptShape.chain(0, "common");
+    for (int i = 0; i < 10 * ENGINES; i++) {
+      long session = PromptShape.chain(common, "s" + random.nextLong());
+      PromptShape shape =
+          new PromptShape(
+              8_000,
+              20,
+              List.of(
+                  new PromptShape.Part(common, 2_500),
+                  new PromptShape.Part(session, 3_500),
+                  new PromptShape.Part(PromptShape.chain(session, "own"), 2_000)));
+      Decision decision = fleet.router(random.nextInt(ROUTERS)).submit("team", shape, 1_000);
+      sessions.merge(((Decision.Granted) decision).instance().id(), 1, Integer::sum);
+      for (int ms = 0; ms < 60; ms++) {
+        fleet.step();
+      }
+    }
+
+    assertEquals(sessions.size(), ENGINES);
+    assertTrue(Collections.max(sessions.values()) <= 15, "sessions by engine: " + sessions);
+  }
+
   @Test(dataProvider = "seeds")
   public void hotPartGetsASecondHomeBeforeTheFirstDrowns(long seed) {
     VirtualFleet fleet = new VirtualFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
--- a/library/src/test/java/org/dandelionbeam/routing/VirtualFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/VirtualFleet.java
@@ -201,7 +201,7 @@
       for (Router other : routers) {
         if (other != this && !changes.isEmpty()) {
           other.state.loads().heardChanges(name, changes, nowMs * MS);
-          prompts.forEach(other.state.cache()::heard);
+          prompts.forEach(prompt -> other.state.cache().heard(prompt, nowMs * MS));
         }
       }
     }
