A leaving router listens as long as callers may know its address

Change: it listens for 5.5 s; requests that would not end in time are refused as STOPPING with the time to come back.

--- a/library/src/main/java/org/dandelionbeam/routing/PromptShape.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptShape.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.List;
 
 /**
@@ -16,6 +17,12 @@
   /** A request that is no model request. */
   public static final PromptShape NONE = new PromptShape(0, 0, List.of());
 
+  /** Longest usual wait for the first output; plain services answer well within it. */
+  private static final Duration FIRST_OUTPUT_TIME = Duration.ofMillis(1_200);
+
+  /** Time between the tokens of an answer when an engine is well filled. */
+  private static final Duration OUTPUT_TOKEN_TIME = Duration.ofMillis(35);
+
   private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
 
   /** Copies the parts. */
@@ -65,6 +72,15 @@
     return sum;
   }
 
+  /**
+   * Returns how long a request takes mostly, at an engine under load.
+   *
+   * @return time to the end of the answer
+   */
+  public Duration expectedDuration() {
+    return FIRST_OUTPUT_TIME.plus(OUTPUT_TOKEN_TIME.multipliedBy(outputTokens));
+  }
+
   /**
    * Returns the cost by which teams share the engines.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -35,8 +35,11 @@
   private static final Duration STALE_CHECK_INTERVAL = Duration.ofMillis(100);
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
-  /** Callers keep an address for a few seconds after it left the directory. */
-  private static final Duration LISTEN_AFTER_LEAVE = Duration.ofMillis(2_200);
+  /** Callers keep an address for up to three lifetimes of two seconds after it was removed. */
+  private static final Duration LISTEN_AFTER_LEAVE = Duration.ofMillis(5_500);
+
+  /** Idle connections are closed earlier, so that their callers look for another router. */
+  private static final Duration KEEP_IDLE_AFTER_LEAVE = Duration.ofMillis(2_200);
 
   private static final int BACKLOG = 1_024;
   private static final int WRITE_LOW_BYTES = 32 << 10;
@@ -183,18 +186,22 @@
    * @param done runs when no request is left, or at the limit
    */
   public void leave(Duration limit, Runnable done) {
-    context.leave();
+    long now = System.nanoTime();
+    long deadline = now + limit.toNanos();
+    Duration listens = limit.compareTo(LISTEN_AFTER_LEAVE) < 0 ? limit : LISTEN_AFTER_LEAVE;
+    context.leave(deadline);
     peers.report(false);
     context.log().line("leaving").with("open_connections", context.sessions().size()).write();
-    long deadline = System.nanoTime() + limit.toNanos();
-    context
-        .loop()
-        .schedule(this::stopListening, LISTEN_AFTER_LEAVE.toMillis(), TimeUnit.MILLISECONDS);
-    awaitEnd(deadline, System.nanoTime() + LISTEN_AFTER_LEAVE.toNanos(), done);
+    later(KEEP_IDLE_AFTER_LEAVE, this::closeIdleConnections);
+    later(listens, () -> listener.close());
+    awaitEnd(deadline, now + listens.toNanos(), done);
+  }
+
+  private void later(Duration delay, Runnable work) {
+    context.loop().schedule(work, delay.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private void stopListening() {
-    listener.close();
+  private void closeIdleConnections() {
     List.copyOf(context.sessions()).forEach(CallerSession::closeIfIdle);
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -38,6 +38,9 @@
   /** Another upstream is mostly free by then. */
   private static final Duration COME_BACK_SOON = Duration.ofMillis(300);
 
+  /** Other routers serve meanwhile. */
+  private static final Duration COME_BACK_AT_ONCE = Duration.ofMillis(50);
+
   /** A router that starts knows its configuration by then. */
   private static final Duration COME_BACK_LATER = Duration.ofMillis(500);
 
@@ -91,7 +94,12 @@
     if (table.isEmpty()) {
       refuse(ErrorCode.NOT_READY, COME_BACK_LATER);
     } else if (admit(table.get())) {
-      submit(table.get(), now);
+      if (router.outlives(terms.shape().expectedDuration())) {
+        submit(table.get(), now);
+      } else {
+        trace.step("stopping", "config=" + table.get().version(), now);
+        refuse(ErrorCode.STOPPING, COME_BACK_AT_ONCE);
+      }
     }
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -39,6 +40,7 @@
   private boolean reportPending;
   private Runnable reporter = () -> {};
   private boolean leaving;
+  private long leaveDeadlineNanos;
 
   RouterContext(
       EventLoop loop,
@@ -133,8 +135,15 @@
     return leaving;
   }
 
-  void leave() {
+  /** Starts to leave; requests must end before the deadline. */
+  void leave(long newDeadlineNanos) {
     leaving = true;
+    leaveDeadlineNanos = newDeadlineNanos;
+  }
+
+  /** Tells whether a request that takes so long ends before this router does. */
+  boolean outlives(Duration expected) {
+    return !leaving || now() + expected.toNanos() < leaveDeadlineNanos;
   }
 
   /** Sets what tells the peers of changed work. */
