A router that starts asks engines which prompt parts they hold

Cause: after a stop of all routers nobody knew what engines hold; all prompts counted as unread, 408 requests were refused as overloaded in four seconds of the incident while engines had few requests. Change: HeldPartsReader asks each engine once within 3 s of the first; parts are known by their own id instead of a chained hash, since engines list them so.

--- a/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
@@ -92,6 +92,17 @@
     memory.use(prompt.parts(), (long) (PARTS_SHARE * memoryTokens));
   }
 
+  /**
+   * Takes the parts that an engine says it holds, for what was sent before this router started.
+   *
+   * @param engine number of the engine
+   * @param parts the parts
+   * @param nowNanos monotonic time
+   */
+  public void listed(int engine, List<PromptShape.Part> parts, long nowNanos) {
+    engines.computeIfAbsent(engine, number -> new EngineMemory(nowNanos)).addOlder(parts);
+  }
+
   /**
    * Returns how much an engine had to read lately.
    *
@@ -191,6 +202,16 @@
       }
     }
 
+    /** Parts that were used since then are newer. */
+    void addOlder(List<PromptShape.Part> parts) {
+      Map<Long, Long> newer = new LinkedHashMap<>(tokensByPart);
+      tokensByPart.clear();
+      parts.forEach(part -> tokensByPart.put(part.hash(), part.tokens()));
+      newer.keySet().forEach(tokensByPart::remove);
+      tokensByPart.putAll(newer);
+      tokens = tokensByPart.values().stream().mapToLong(Long::longValue).sum();
+    }
+
     long heldTokens(List<PromptShape.Part> parts) {
       long held = 0;
       for (PromptShape.Part part : parts) {
--- a/library/src/main/java/org/dandelionbeam/routing/PromptShape.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptShape.java
@@ -33,20 +33,19 @@
   /**
    * One part of a prompt.
    *
-   * @param hash hash of the part's id and of all parts before it
+   * @param hash hash of the part's id
    * @param tokens tokens of this part
    */
   public record Part(long hash, long tokens) {}
 
   /**
-   * Chains the hash of a part to that of the parts before it.
+   * Returns the hash by which a part is known.
    *
-   * @param before hash of the parts before, 0 for none
    * @param id id of the part
-   * @return hash of the chain up to this part
+   * @return its hash
    */
-  public static long chain(long before, String id) {
-    long mixed = (before ^ requireNonNull(id, "id").hashCode()) * HASH_FACTOR;
+  public static long hashOf(String id) {
+    long mixed = requireNonNull(id, "id").hashCode() * HASH_FACTOR;
     return mixed ^ (mixed >>> Integer.SIZE);
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -95,6 +95,8 @@
     every(REPORT_INTERVAL, () -> peers.report(isReady()));
     every(POLL_INTERVAL, context::poll);
     every(SWEEP_INTERVAL, this::sweep);
+    HeldPartsReader heldParts = new HeldPartsReader(context);
+    every(STALE_CHECK_INTERVAL, heldParts::askNew);
   }
 
   private void every(Duration interval, Runnable work) {
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/HeldPartsReader.java
@@ -0,0 +1,132 @@
+package org.dandelionbeam.routing.wiring;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.dandelionbeam.base.Verdict;
+import org.dandelionbeam.routing.LoadBoard;
+import org.dandelionbeam.routing.PromptShape;
+import org.dandelionbeam.routing.ServiceSpec;
+import org.dandelionbeam.routing.UpstreamInstance;
+
+/**
+ * Asks each engine once which prompt parts it holds, so that a router that starts does not take
+ * them for unread. Lives on one event loop.
+ */
+final class HeldPartsReader {
+  /** Engines that come later hold nothing, or what the router sent them. */
+  private static final Duration ASK_FOR = Duration.ofSeconds(3);
+
+  /** A list is worth little once new requests have changed it. */
+  private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+  /** Some thousand parts; longer lists are cut off. */
+  private static final int MAX_BODY_BYTES = 1 << 20;
+
+  private final RouterContext router;
+  private final Set<Integer> asked = new HashSet<>();
+  private long startNanos;
+
+  HeldPartsReader(RouterContext router) {
+    this.router = requireNonNull(router, "router");
+  }
+
+  /** Asks the engines that were not asked yet, for some time after the first one was known. */
+  void askNew() {
+    long now = router.tick();
+    for (ServiceSpec service : services()) {
+      for (UpstreamInstance engine : router.fleet().upstreams().usable(service.name())) {
+        startNanos = asked.isEmpty() ? now : startNanos;
+        if (now - startNanos < ASK_FOR.toNanos() && asked.add(LoadBoard.numberOf(engine))) {
+          ask(engine);
+        }
+      }
+    }
+  }
+
+  private List<ServiceSpec> services() {
+    return router.fleet().table().stream()
+        .flatMap(table -> table.services().stream())
+        .filter(service -> service.engine().isPresent())
+        .toList();
+  }
+
+  private void ask(UpstreamInstance engine) {
+    Answer answer = new Answer(engine);
+    UpstreamExchange exchange =
+        new UpstreamExchange(
+            router.dialect(), router.dialect().heldPartsRequest(engine.endpoint()), "", answer);
+    router.pool().start(engine.endpoint(), exchange);
+    router.loop().schedule(exchange::abandon, TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** The answer of one engine. */
+  private final class Answer implements UpstreamExchange.Listener {
+    private final UpstreamInstance engine;
+    private byte[] body = new byte[0];
+    private boolean usable;
+
+    Answer(UpstreamInstance engine) {
+      this.engine = engine;
+    }
+
+    @Override
+    public void head(HttpResponse head, HttpDialect.AnswerTerms terms) {
+      usable = head.status().code() == HttpResponseStatus.OK.code();
+    }
+
+    @Override
+    public void content(ByteBuf part) {
+      usable &= body.length + part.readableBytes() <= MAX_BODY_BYTES;
+      if (usable) {
+        byte[] more = ByteBufUtil.getBytes(part);
+        byte[] joined = Arrays.copyOf(body, body.length + more.length);
+        System.arraycopy(more, 0, joined, body.length, more.length);
+        body = joined;
+      }
+    }
+
+    @Override
+    public void readComplete() {}
+
+    @Override
+    public void complete() {
+      if (!usable) {
+        log("unusable answer", 0);
+        return;
+      }
+      try {
+        List<PromptShape.Part> parts = router.dialect().readHeldParts(body);
+        router.fleet().cache().listed(LoadBoard.numberOf(engine), parts, router.tick());
+        log("listed", parts.size());
+      } catch (IOException e) {
+        log("unreadable answer: " + e.getMessage(), 0);
+      }
+    }
+
+    @Override
+    public void failed(Verdict verdict, String cause) {
+      log(cause, 0);
+    }
+
+    private void log(String outcome, int parts) {
+      router
+          .log()
+          .line("held_parts")
+          .with("upstream", engine.id())
+          .with("parts", parts)
+          .with("outcome", outcome)
+          .write();
+    }
+  }
+}
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
@@ -1,11 +1,15 @@
 package org.dandelionbeam.routing.wiring;
 
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.dandelionbeam.base.FleetException;
+import org.dandelionbeam.routing.Endpoint;
 import org.dandelionbeam.routing.InstanceId;
 import org.dandelionbeam.routing.PromptShape;
 import org.dandelionbeam.routing.TeamName;
@@ -39,6 +43,23 @@
    */
   AnswerTerms readAnswer(HttpResponse head);
 
+  /**
+   * Makes the request by which an upstream lists the prompt parts that it holds.
+   *
+   * @param upstream address of the upstream
+   * @return the request
+   */
+  FullHttpRequest heldPartsRequest(Endpoint upstream);
+
+  /**
+   * Reads the answer to that request.
+   *
+   * @param body body of the answer
+   * @return the parts
+   * @throws IOException if the body can't be read
+   */
+  List<PromptShape.Part> readHeldParts(byte[] body) throws IOException;
+
   /**
    * Makes the headers of an answer to a caller.
    *
