--- a/library/src/main/java/org/dandelionbeam/routing/PromptShape.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptShape.java
@@ -21,7 +21,7 @@
   private static final Duration FIRST_OUTPUT_TIME = Duration.ofMillis(1_200);
 
   /** Time between the tokens of an answer when an engine is well filled. */
-  private static final Duration OUTPUT_TOKEN_TIME = Duration.ofMillis(35);
+  private static final Duration OUTPUT_TOKEN_TIME = Duration.ofMillis(20);
 
   private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -191,7 +191,7 @@
     long now = System.nanoTime();
     long deadline = now + limit.toNanos();
     Duration listens = limit.compareTo(LISTEN_AFTER_LEAVE) < 0 ? limit : LISTEN_AFTER_LEAVE;
-    context.leave(deadline);
+    context.leave(serveAllFor(limit), deadline);
     peers.report(false);
     context.log().line("leaving").with("open_connections", context.sessions().size()).write();
     later(KEEP_IDLE_AFTER_LEAVE, this::closeIdleConnections);
@@ -199,6 +199,11 @@
     awaitEnd(deadline, now + listens.toNanos(), done);
   }
 
+  /** Most requests that arrive in the first quarter of the time end before its last. */
+  private static Duration serveAllFor(Duration limit) {
+    return limit.dividedBy(4);
+  }
+
   private void later(Duration delay, Runnable work) {
     context.loop().schedule(work, delay.toMillis(), TimeUnit.MILLISECONDS);
   }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -40,6 +40,7 @@
   private boolean reportPending;
   private Runnable reporter = () -> {};
   private boolean leaving;
+  private long serveAllUntilNanos;
   private long leaveDeadlineNanos;
 
   RouterContext(
@@ -135,15 +136,17 @@
     return leaving;
   }
 
-  /** Starts to leave; requests must end before the deadline. */
-  void leave(long newDeadlineNanos) {
+  /** Starts to leave; later requests must end before the deadline. */
+  void leave(Duration serveAllFor, long newDeadlineNanos) {
     leaving = true;
+    serveAllUntilNanos = now() + serveAllFor.toNanos();
     leaveDeadlineNanos = newDeadlineNanos;
   }
 
   /** Tells whether a request that takes so long ends before this router does. */
   boolean outlives(Duration expected) {
-    return !leaving || now() + expected.toNanos() < leaveDeadlineNanos;
+    long now = now();
+    return !leaving || now < serveAllUntilNanos || now + expected.toNanos() < leaveDeadlineNanos;
   }
 
   /** Sets what tells the peers of changed work. */
