--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -98,8 +98,7 @@
    * Returns the upstream that should get the request now, empty if the request should wait.
    *
    * <p>A request waits for the best upstream while it can be answered there in time. It goes to
-   * another one only if that one answers it in time, or if its team is large and got much less than
-   * the largest.
+   * another one only if that one answers it in time.
    */
   Optional<Decision.Granted> choose(Ticket ticket, ServiceSpec spec, long nowNanos) {
     List<UpstreamInstance> candidates = candidates(ticket, nowNanos);
@@ -114,17 +113,10 @@
     if (open == null || best == open) {
       return Optional.ofNullable(open).map(choice -> choice.granted(ticket));
     }
-    boolean waits = best.answersInTime || (!open.answersInTime && !isOwedService(ticket));
+    boolean waits = best.answersInTime || !open.answersInTime;
     return waits ? Optional.empty() : Optional.of(open.granted(ticket));
   }
 
-  /** A large team far behind the largest may have all its sessions at a few busy engines. */
-  private boolean isOwedService(Ticket ticket) {
-    long now = fleet.nowNanos();
-    return fleet.usage().relative(ticket.team(), now) > 1
-        && fleet.usage().toLargest(ticket.team(), now) < OWED_SHARE;
-  }
-
   private static Choice cheaper(Choice known, Choice other) {
     return known == null || other.cost < known.cost ? other : known;
   }
