--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -219,14 +219,13 @@
             + newHomeCost(holders, number)
             + ERROR_TOKENS * fleet.health().errorRate(instance.id());
     choice.otherDomainCost = OTHER_DOMAIN_TOKENS;
-    double share = reread == 0 ? HOLDER_OBJECTIVE_SHARE : OBJECTIVE_SHARE;
-    choice.answersInTime = isInTime(ticket, backlog + rate.nanosFor(unread), share);
     choice.hasRoom =
         load.inFlight() < Math.max(1, engine.slots())
             && (load.inFlight() == 0
                 || load.memoryTokens() + memory < MEMORY_SHARE * engine.memoryTokens())
-            && backlog
-                <= allowedBacklogNanos(ticket.team(), choice.answersInTime, rate.nanosFor(reread));
+            && backlog <= allowedBacklogNanos(ticket.team(), rate.nanosFor(reread));
+    double share = reread == 0 ? HOLDER_OBJECTIVE_SHARE : OBJECTIVE_SHARE;
+    choice.answersInTime = isInTime(ticket, backlog + rate.nanosFor(unread), share);
     return choice;
   }
 
@@ -248,16 +247,14 @@
    * Returns the backlog up to which a team's requests go to an engine.
    *
    * <p>Routers can't order each other's requests. Teams that got more than the mean stop earlier,
-   * and so do requests that would be late, so the room above is left to the others at whichever
-   * router they are.
+   * so the room above is left to the others at whichever router they are.
    */
-  private long allowedBacklogNanos(TeamName team, boolean inTime, long rereadNanos) {
+  private long allowedBacklogNanos(TeamName team, long rereadNanos) {
     if (fleet.usage().toLargest(team, fleet.nowNanos()) < OWED_SHARE) {
       return MAX_BACKLOG_NANOS;
     }
     double relative = fleet.usage().relative(team, fleet.nowNanos());
-    double byTeam = relative <= 1 ? 1 : Math.max(MIN_BACKLOG_SHARE, 1 / relative);
-    double share = inTime ? byTeam : MIN_BACKLOG_SHARE;
+    double share = relative <= 1 ? 1 : Math.max(MIN_BACKLOG_SHARE, 1 / relative);
     long allowed = (long) (MAX_BACKLOG_NANOS * share);
     return Math.max(Math.min(allowed, NEARLY_IDLE_NANOS), allowed - rereadNanos);
   }
