A node refutes suspicion of its older incarnations too

Probes bring the suspicion to the suspect, which ignored it, since it was older than itself; so nobody told n1 and n3 of incarnation 4, and each message of n2 made it reachable for a moment only. Ruled out: lost probes (none failed in the last 40 s of the walk), the roster, late answers. Change: a suspected node announces its incarnation whatever the suspected one was.

--- a/library/src/main/java/org/dandelionbeam/membership/FailureDetector.java
+++ b/library/src/main/java/org/dandelionbeam/membership/FailureDetector.java
@@ -272,9 +272,10 @@
     }
   }
 
+  /** Who suspects an older incarnation has not heard of this one, so it is announced again. */
   private void refute(State state, long suspected) {
-    if (state != State.ALIVE && suspected >= incarnation) {
-      incarnation = suspected + 1;
+    if (state != State.ALIVE) {
+      incarnation = Math.max(incarnation, suspected + 1);
       rumours.add(self, State.ALIVE, incarnation);
     }
   }
