--- a/daemon/src/main/java/org/dandelionbeam/daemon/cli/RequestStory.java
+++ b/daemon/src/main/java/org/dandelionbeam/daemon/cli/RequestStory.java
@@ -17,6 +17,7 @@
  * <p>The lines of a request are written when it ends, so their times follow from the last one.
  */
 final class RequestStory {
+  private static final String FIRST_EVENT = "started";
   private static final String LAST_EVENT = "finished";
 
   /** The beliefs that decide on most requests; the last of each before the end is shown. */
@@ -95,10 +96,7 @@
 
   private Stream<LogLine> beliefsOf(String router) {
     double end = steps.stream().mapToDouble(LogLine::writtenMs).max().orElse(0);
-    List<LogLine> known =
-        beliefs.stream()
-            .filter(belief -> belief.router().equals(router) && belief.writtenMs() <= end)
-            .toList();
+    List<LogLine> known = sinceStart(router, end);
     Stream<LogLine> general =
         BELIEFS.stream().flatMap(event -> last(known, belief -> belief.event().equals(event)));
     Stream<LogLine> ofUpstreams =
@@ -106,6 +104,20 @@
     return Stream.concat(general, ofUpstreams).sorted(Comparator.comparingLong(LogLine::writtenMs));
   }
 
+  /** What a router believed before it started anew does not count. */
+  private List<LogLine> sinceStart(String router, double endMs) {
+    List<LogLine> known = new ArrayList<>();
+    for (LogLine belief : beliefs) {
+      if (belief.router().equals(router) && belief.writtenMs() <= endMs) {
+        if (belief.event().equals(FIRST_EVENT)) {
+          known.clear();
+        }
+        known.add(belief);
+      }
+    }
+    return known;
+  }
+
   private static Stream<LogLine> last(List<LogLine> lines, Predicate<LogLine> wanted) {
     Optional<LogLine> last = lines.stream().filter(wanted).reduce((earlier, later) -> later);
     return last.stream();
--- a/daemon/src/test/java/org/dandelionbeam/daemon/cli/ExplainLogTest.java
+++ b/daemon/src/test/java/org/dandelionbeam/daemon/cli/ExplainLogTest.java
@@ -79,6 +79,19 @@
     assertEquals(run.err(), "");
   }
 
+  @Test
+  public void whatTheRouterBelievedBeforeItStartedAnewIsLeftOut() throws IOException {
+    String leaving = "{\"time\":800,\"router\":\"a-1\",\"event\":\"leaving\"}\n";
+    String started = "{\"time\":890,\"router\":\"a-1\",\"event\":\"started\"}\n";
+
+    CommandRun run =
+        explain(
+            leaving + started + CONFIGURATION + ROUTED + FINISHED, "--log", log.toString(), "id-1");
+
+    assertFalse(run.out().contains("leaving"), run.out());
+    assertTrue(run.out().contains("configuration version=14"), run.out());
+  }
+
   @DataProvider
   public static Object[][] damaged() {
     return new Object[][] {
