What a leaving router takes is decided by a pure class, and tested without waiting

The wire test slept 2.1 s to get past the first quarter of the time to leave; under load it could have slept past the end. LeaveWindow holds the decision and has a table of cases; the wire tests check a new connection that is served and a request that is told to come back. Behaviour is the same.

--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -19,6 +19,7 @@
 import org.dandelionbeam.routing.Endpoint;
 import org.dandelionbeam.routing.FleetState;
 import org.dandelionbeam.routing.InstanceId;
+import org.dandelionbeam.routing.LeaveWindow;
 import org.dandelionbeam.routing.StoreVersions;
 
 /**
@@ -191,7 +192,7 @@
     long now = System.nanoTime();
     long deadline = now + limit.toNanos();
     Duration listens = limit.compareTo(LISTEN_AFTER_LEAVE) < 0 ? limit : LISTEN_AFTER_LEAVE;
-    context.leave(serveAllFor(limit), deadline);
+    context.leave(LeaveWindow.of(now, limit));
     peers.report(false);
     context.log().line("leaving").with("open_connections", context.sessions().size()).write();
     later(KEEP_IDLE_AFTER_LEAVE, this::closeIdleConnections);
@@ -199,11 +200,6 @@
     awaitEnd(deadline, now + listens.toNanos(), done);
   }
 
-  /** Most requests that arrive in the first quarter of the time end before its last. */
-  private static Duration serveAllFor(Duration limit) {
-    return limit.dividedBy(4);
-  }
-
   private void later(Duration delay, Runnable work) {
     context.loop().schedule(work, delay.toMillis(), TimeUnit.MILLISECONDS);
   }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -94,7 +94,7 @@
     if (table.isEmpty()) {
       refuse(ErrorCode.NOT_READY, COME_BACK_LATER);
     } else if (admit(table.get())) {
-      if (router.outlives(terms.shape().expectedDuration())) {
+      if (router.takes(terms.shape().expectedDuration())) {
         submit(table.get(), now);
       } else {
         trace.step("stopping", "config=" + table.get().version(), now);
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -8,11 +8,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.dandelionbeam.routing.CallerLimits;
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.LeaveWindow;
 import org.dandelionbeam.routing.RoutingTable;
 import org.dandelionbeam.routing.Scheduler;
 
@@ -39,9 +41,7 @@
   private boolean pollPending;
   private boolean reportPending;
   private Runnable reporter = () -> {};
-  private boolean leaving;
-  private long serveAllUntilNanos;
-  private long leaveDeadlineNanos;
+  private Optional<LeaveWindow> leaving = Optional.empty();
 
   RouterContext(
       EventLoop loop,
@@ -133,20 +133,16 @@
   }
 
   boolean isLeaving() {
-    return leaving;
+    return leaving.isPresent();
   }
 
-  /** Starts to leave; later requests must end before the deadline. */
-  void leave(Duration serveAllFor, long newDeadlineNanos) {
-    leaving = true;
-    serveAllUntilNanos = now() + serveAllFor.toNanos();
-    leaveDeadlineNanos = newDeadlineNanos;
+  void leave(LeaveWindow window) {
+    leaving = Optional.of(window);
   }
 
-  /** Tells whether a request that takes so long ends before this router does. */
-  boolean outlives(Duration expected) {
-    long now = now();
-    return !leaving || now < serveAllUntilNanos || now + expected.toNanos() < leaveDeadlineNanos;
+  /** Tells whether a request that takes so long may be taken, as this router may be leaving. */
+  boolean takes(Duration expected) {
+    return leaving.map(window -> window.takes(expected, now())).orElse(true);
   }
 
   /** Sets what tells the peers of changed work. */
