Decide on waiting requests without working the same out again

The order of waiting requests took the service of a team, with its powers over all peers' reports, anew for each comparison of a sort; placement listed the usable upstreams twice and looked up what each engine holds twice for each request. Both stand on the path that made the event loop late (PollPace bounds it). Now a request is ranked once for a sort, and placement takes list and held tokens once. What an own part is stands beside what is shared, in PromptShape.

--- a/library/src/main/java/org/dandelionbeam/routing/Placement.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Placement.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -81,9 +82,14 @@
    * have the request yet if every one is avoided.
    */
   List<UpstreamInstance> candidates(Ticket ticket, long nowNanos) {
+    return candidates(ticket, fleet.upstreams().usable(ticket.service()), nowNanos);
+  }
+
+  private List<UpstreamInstance> candidates(
+      Ticket ticket, List<UpstreamInstance> usable, long nowNanos) {
     List<UpstreamInstance> untried = new ArrayList<>();
     List<UpstreamInstance> sound = new ArrayList<>();
-    for (UpstreamInstance instance : fleet.upstreams().usable(ticket.service())) {
+    for (UpstreamInstance instance : usable) {
       if (!ticket.isExcluded(instance.id())) {
         untried.add(instance);
         if (!fleet.health().isAvoided(instance.id(), nowNanos)) {
@@ -101,8 +107,9 @@
    * another one only if that one answers it in time.
    */
   Optional<Decision.Granted> choose(Ticket ticket, ServiceSpec spec, long nowNanos) {
-    List<UpstreamInstance> candidates = candidates(ticket, nowNanos);
-    PromptHolders holders = holdersOf(ticket, spec, candidates);
+    List<UpstreamInstance> usable = fleet.upstreams().usable(ticket.service());
+    List<UpstreamInstance> candidates = candidates(ticket, usable, nowNanos);
+    PromptHolders holders = holdersOf(ticket, spec, usable, candidates);
     Choice best = null;
     Choice open = null;
     for (UpstreamInstance instance : candidates) {
@@ -122,33 +129,46 @@
   }
 
   private PromptHolders holdersOf(
-      Ticket ticket, ServiceSpec spec, List<UpstreamInstance> candidates) {
+      Ticket ticket,
+      ServiceSpec spec,
+      List<UpstreamInstance> usable,
+      List<UpstreamInstance> candidates) {
     PromptShape shape = ticket.shape();
     if (spec.engine().isEmpty() || !shape.isModelRequest()) {
       return PromptHolders.NONE;
     }
-    List<Integer> numbers = new ArrayList<>();
-    for (UpstreamInstance instance : fleet.upstreams().usable(ticket.service())) {
-      numbers.add(LoadBoard.numberOf(instance));
-    }
-    long held = 0;
+    Map<Integer, Long> heldByEngine = new HashMap<>();
+    long most = 0;
     for (UpstreamInstance instance : candidates) {
-      held = Math.max(held, fleet.cache().heldTokens(shape, LoadBoard.numberOf(instance)));
+      int number = LoadBoard.numberOf(instance);
+      long held = fleet.cache().heldTokens(shape, number);
+      heldByEngine.put(number, held);
+      most = Math.max(most, held);
     }
+    List<Integer> numbers = usable.stream().map(LoadBoard::numberOf).toList();
     long shared = shape.sharedTokens();
     return new PromptHolders(
-        PromptCache.ranks(shape, numbers), Math.min(held, shared), held < shared);
+        PromptCache.ranks(shape, numbers), heldByEngine, Math.min(most, shared), most < shared);
   }
 
   /**
    * Where a prompt should be read.
    *
    * @param ranks order in which all routers prefer the engines
+   * @param heldByEngine tokens of its leading parts that the engines hold
    * @param sharedHeld tokens of shared parts that the engine with most of them holds
    * @param isNew whether no engine holds all shared parts, so that one must read them
    */
-  private record PromptHolders(Map<Integer, Integer> ranks, long sharedHeld, boolean isNew) {
-    private static final PromptHolders NONE = new PromptHolders(Map.of(), 0, false);
+  private record PromptHolders(
+      Map<Integer, Integer> ranks,
+      Map<Integer, Long> heldByEngine,
+      long sharedHeld,
+      boolean isNew) {
+    private static final PromptHolders NONE = new PromptHolders(Map.of(), Map.of(), 0, false);
+
+    long heldBy(int engine) {
+      return heldByEngine.getOrDefault(engine, 0L);
+    }
 
     /** Tokens to read again because the request doesn't go to the engine that holds them. */
     long rereadAt(long held) {
@@ -177,7 +197,7 @@
     UpstreamLoad load = fleet.loads().total(number, nowNanos);
     Choice choice =
         spec.engine().isPresent() && ticket.shape().isModelRequest()
-            ? engineChoice(ticket, spec.engine().get(), instance, load, holders)
+            ? engineChoice(ticket, spec.engine().get(), instance, number, load, holders)
             : plainChoice(instance, load);
     choice.hasRoom &= coldRoom;
     choice.answersInTime &= coldRoom;
@@ -200,11 +220,11 @@
       Ticket ticket,
       ServiceSpec.EngineSpec engine,
       UpstreamInstance instance,
+      int number,
       UpstreamLoad load,
       PromptHolders holders) {
     PromptShape shape = ticket.shape();
-    int number = LoadBoard.numberOf(instance);
-    long held = Math.min(fleet.cache().heldTokens(shape, number), shape.promptTokens());
+    long held = Math.min(holders.heldBy(number), shape.promptTokens());
     long unread = shape.promptTokens() - held;
     long reread = holders.rereadAt(held);
     long memory =
--- a/library/src/main/java/org/dandelionbeam/routing/PromptShape.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptShape.java
@@ -71,6 +71,15 @@
     return sum;
   }
 
+  /**
+   * Returns the tokens that an engine mostly has to read; those before are held already.
+   *
+   * @return tokens of the last part, of the whole prompt if it has no parts
+   */
+  public long ownTokens() {
+    return parts.isEmpty() ? promptTokens : parts.get(parts.size() - 1).tokens();
+  }
+
   /**
    * Returns how long a request takes mostly, at an engine under load.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -84,8 +84,8 @@
   }
 
   private List<Ticket> aheadOf(Ticket ticket, List<Ticket> queue) {
-    Comparator<Ticket> order = order();
-    return queue.stream().filter(other -> order.compare(other, ticket) < 0).toList();
+    Ranked own = ranked(ticket);
+    return queue.stream().filter(other -> ranked(other).compareTo(own) < 0).toList();
   }
 
   /**
@@ -124,18 +124,32 @@
   }
 
   private List<Ticket> inOrder(List<Ticket> queue) {
-    List<Ticket> sorted = new ArrayList<>(queue);
-    sorted.sort(order());
-    return sorted;
+    return queue.stream().map(this::ranked).sorted().map(Ranked::ticket).toList();
   }
 
-  private Comparator<Ticket> order() {
+  private Ranked ranked(Ticket ticket) {
     long now = fleet.nowNanos();
-    return Comparator.comparingInt((Ticket ticket) -> excessTier(ticket, now))
-        .thenComparing(ticket -> isTooLate(ticket, now))
-        .thenComparingDouble(ticket -> fleet.usage().of(ticket.team(), now))
-        .thenComparingLong(Ticket::arrivedNanos)
-        .thenComparingLong(Ticket::number);
+    return new Ranked(
+        ticket,
+        excessTier(ticket, now),
+        isTooLate(ticket, now),
+        fleet.usage().of(ticket.team(), now));
+  }
+
+  /** A request with what decides on its place, which is worked out once for all comparisons. */
+  private record Ranked(Ticket ticket, int excessTier, boolean tooLate, double teamUsage)
+      implements Comparable<Ranked> {
+    private static final Comparator<Ranked> ORDER =
+        Comparator.comparingInt(Ranked::excessTier)
+            .thenComparing(Ranked::tooLate)
+            .thenComparingDouble(Ranked::teamUsage)
+            .thenComparingLong(ranked -> ranked.ticket.arrivedNanos())
+            .thenComparingLong(ranked -> ranked.ticket.number());
+
+    @Override
+    public int compareTo(Ranked other) {
+      return ORDER.compare(this, other);
+    }
   }
 
   /** Teams that differ much in what they got lately come one after another, late or not. */
@@ -149,7 +163,7 @@
     long output =
         ticket.shape().isModelRequest()
             ? USUAL_BACKLOG.toNanos()
-                + fleet.readRate(ticket.service()).nanosFor(unsharedTokens(ticket))
+                + fleet.readRate(ticket.service()).nanosFor(ticket.shape().ownTokens())
             : 0;
     return ticket.objectiveNanos() - output - now < 0;
   }
@@ -240,16 +254,10 @@
       return (long) (queue.size() * PLAIN_SERVICE_TIME.toNanos() / slots);
     }
     double engines = Math.max(1, fleet.upstreams().usable(service).size()) / (double) routers;
-    long tokens = queue.stream().mapToLong(Scheduler::unsharedTokens).sum();
+    long tokens = queue.stream().mapToLong(ticket -> ticket.shape().ownTokens()).sum();
     return (long) (fleet.readRate(service).nanosFor(tokens) / engines);
   }
 
-  /** Tokens of the last part; those before it are mostly held already. */
-  private static long unsharedTokens(Ticket ticket) {
-    List<PromptShape.Part> parts = ticket.shape().parts();
-    return parts.isEmpty() ? ticket.shape().promptTokens() : parts.get(parts.size() - 1).tokens();
-  }
-
   private int slotsOf(ServiceName service) {
     return fleet.upstreams().usable(service).stream().mapToInt(UpstreamInstance::slots).sum();
   }
