One record for amounts that fade

The half-life arithmetic stood in TeamUsage, for own and for reported service, and again in PromptCache.

--- a/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptCache.java
@@ -170,21 +170,18 @@
   private static final class EngineMemory {
     private final LinkedHashMap<Long, Long> tokensByPart = new LinkedHashMap<>();
     private long tokens;
-    private double readTokens;
-    private long readAtNanos;
+    private FadingAmount read;
 
     EngineMemory(long nowNanos) {
-      readAtNanos = nowNanos;
+      read = new FadingAmount(0, nowNanos, READ_HALF_LIFE);
     }
 
     void read(long unread, long nowNanos) {
-      readTokens = recentlyRead(nowNanos) + unread;
-      readAtNanos = nowNanos;
+      read = read.plus(unread, nowNanos);
     }
 
     double recentlyRead(long nowNanos) {
-      double halves = (nowNanos - readAtNanos) / (double) READ_HALF_LIFE.toNanos();
-      return readTokens * Math.pow(0.5, halves);
+      return read.at(nowNanos);
     }
 
     /** A part is of no use without those before it, so the earlier ones are kept longer. */
--- a/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
+++ b/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
@@ -22,7 +22,7 @@
   /** The sums change slowly against the time between two decisions. */
   private static final Duration SUMMARY_LIFETIME = Duration.ofMillis(50);
 
-  private final Map<Integer, Faded> own = new HashMap<>();
+  private final Map<Integer, FadingAmount> own = new HashMap<>();
   private final Map<RouterName, Report> peers = new HashMap<>();
 
   private double mean;
@@ -49,7 +49,9 @@
    */
   public void served(TeamName team, double cost, long nowNanos) {
     own.merge(
-        numberOf(team), new Faded(cost, nowNanos), (old, add) -> old.plus(add.amount, nowNanos));
+        numberOf(team),
+        new FadingAmount(cost, nowNanos, HALF_LIFE),
+        (old, added) -> old.plus(cost, nowNanos));
   }
 
   /**
@@ -72,7 +74,7 @@
    */
   public double of(TeamName team, long nowNanos) {
     int number = numberOf(team);
-    Faded here = own.get(number);
+    FadingAmount here = own.get(number);
     double sum = here == null ? 0 : here.at(nowNanos);
     for (Report report : peers.values()) {
       if (nowNanos - report.atNanos < PEER_REPORT_LIFETIME.toNanos()) {
@@ -147,25 +149,11 @@
     return team.text().hashCode();
   }
 
-  private static double faded(double amount, long sinceNanos, long nowNanos) {
-    return amount * Math.pow(0.5, (nowNanos - sinceNanos) / (double) HALF_LIFE.toNanos());
-  }
-
   /** What a peer gave, as of its last report. */
   private record Report(Map<Integer, Double> service, long atNanos) {
     double at(int team, long nowNanos) {
-      return faded(service.getOrDefault(team, 0.0), atNanos, nowNanos);
-    }
-  }
-
-  /** An amount that halves each half-life. */
-  private record Faded(double amount, long atNanos) {
-    double at(long nowNanos) {
-      return faded(amount, atNanos, nowNanos);
-    }
-
-    Faded plus(double more, long nowNanos) {
-      return new Faded(at(nowNanos) + more, nowNanos);
+      double amount = service.getOrDefault(team, 0.0);
+      return new FadingAmount(amount, atNanos, HALF_LIFE).at(nowNanos);
     }
   }
 }
