--- a/library/src/main/java/org/dandelionbeam/routing/RoutingTable.java
+++ b/library/src/main/java/org/dandelionbeam/routing/RoutingTable.java
@@ -19,7 +19,6 @@
   private final Map<ServiceName, ServiceSpec> services;
   private final Map<String, TeamName> teamsByKey;
   private final CallerLimits limits;
-  private final double tokensPerSecond;
   private final boolean keysRequired;
 
   private RoutingTable(Builder builder) {
@@ -32,7 +31,6 @@
     services = Map.copyOf(builder.services);
     teamsByKey = Map.copyOf(builder.teamsByKey);
     limits = builder.limits;
-    tokensPerSecond = builder.tokensPerSecond;
     keysRequired = builder.keysRequired;
   }
 
@@ -145,15 +143,6 @@
     return limits;
   }
 
-  /**
-   * Returns the tokens that all engines together read and generate in a second.
-   *
-   * @return the figure, 0 if the operators give none
-   */
-  public double tokensPerSecond() {
-    return tokensPerSecond;
-  }
-
   private static String hostKey(String host) {
     int colon = host.lastIndexOf(':');
     String name = colon < 0 ? host : host.substring(0, colon);
@@ -167,7 +156,6 @@
     private final Map<ServiceName, ServiceSpec> services = new HashMap<>();
     private final Map<String, TeamName> teamsByKey = new HashMap<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
-    private double tokensPerSecond;
     private boolean keysRequired;
 
     private Builder(long version) {
@@ -220,17 +208,6 @@
       return this;
     }
 
-    /**
-     * Sets the tokens that all engines together handle in a second.
-     *
-     * @param tokens 0 or more
-     * @return this builder
-     */
-    public Builder tokensPerSecond(double tokens) {
-      tokensPerSecond = tokens;
-      return this;
-    }
-
     /**
      * Makes the table.
      *
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterMetrics.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterMetrics.java
@@ -6,7 +6,9 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 
 /** Counters and latency histograms of a router, by route kind and by team. */
@@ -29,7 +31,7 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Map<String, Counter> counters = new HashMap<>();
   private final Map<String, Timer> timers = new HashMap<>();
-  private final Map<String, Boolean> teams = new HashMap<>();
+  private final Set<String> teams = new HashSet<>();
 
   private RouterMetrics() {}
 
@@ -46,9 +48,9 @@
   void request(String kind, String team, int status, long nanos) {
     counter("dandelionbeam_requests", "status", Integer.toString(status)).increment();
     timer("dandelionbeam_request", "kind", kind).record(Duration.ofNanos(nanos));
-    boolean known = teams.containsKey(team) || teams.size() < MAX_TEAMS;
+    boolean known = teams.contains(team) || teams.size() < MAX_TEAMS;
     String label = known ? team : "other";
-    teams.putIfAbsent(label, true);
+    teams.add(label);
     timer("dandelionbeam_team_request", "team", label).record(Duration.ofNanos(nanos));
   }
 
--- a/library/src/main/java/org/dandelionbeam/upstream/wiring/EngineClient.java
+++ b/library/src/main/java/org/dandelionbeam/upstream/wiring/EngineClient.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -19,17 +18,14 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.dandelionbeam.base.FleetException;
 import org.dandelionbeam.upstream.ExchangeFault;
 
 /**
- * Control calls to engines: small JSON bodies, bounded in size and in time. Safe on any thread.
+ * Reads from engines: small JSON bodies, bounded in size and in time. Safe on any thread.
  *
  * <p>A future completes on the event loop. It fails with a {@link FleetException} whose verdict
  * tells whether the engine may have taken the call in.
@@ -66,30 +62,14 @@
    */
   public CompletableFuture<EngineReply> read(
       InetSocketAddress address, String path, Duration limit) {
-    FullHttpRequest request = request(HttpMethod.GET, address, path, Unpooled.EMPTY_BUFFER);
-    return send(address, request, Optional.empty(), limit);
-  }
-
-  /**
-   * Posts to an engine on a new connection, since a kept one might break after the call left.
-   *
-   * @param address where the engine listens
-   * @param path path with query
-   * @param body the body
-   * @param limit longest time from now to the end of the answer
-   * @param mayLeave asked on the event loop right before; if false, nothing is sent
-   * @return the answer, whatever its status
-   */
-  public CompletableFuture<EngineReply> post(
-      InetSocketAddress address,
-      String path,
-      JsonNode body,
-      Duration limit,
-      BooleanSupplier mayLeave) {
-    ByteBuf bytes = Unpooled.copiedBuffer(body.toString(), StandardCharsets.UTF_8);
-    FullHttpRequest request = request(HttpMethod.POST, address, path, bytes);
-    request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-    return send(address, request, Optional.of(mayLeave), limit);
+    PendingCall call = new PendingCall();
+    loop.execute(
+        () -> {
+          Future<?> timer = loop.schedule(call::expire, limit.toNanos(), TimeUnit.NANOSECONDS);
+          call.reply.whenComplete((reply, failure) -> timer.cancel(false));
+          call.exchange = client.send(address, request(address, path), true, limit, call);
+        });
+    return call.reply;
   }
 
   /** Closes the idle connections. */
@@ -97,35 +77,16 @@
     client.close();
   }
 
-  private static FullHttpRequest request(
-      HttpMethod method, InetSocketAddress address, String path, ByteBuf body) {
-    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, body);
+  private static FullHttpRequest request(InetSocketAddress address, String path) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
     String host = address.getHostString() + ":" + address.getPort();
     request.headers().set(HttpHeaderNames.HOST, host);
-    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     return request;
   }
 
-  private CompletableFuture<EngineReply> send(
-      InetSocketAddress address,
-      FullHttpRequest request,
-      Optional<BooleanSupplier> mayLeave,
-      Duration limit) {
-    PendingCall call = new PendingCall();
-    loop.execute(
-        () -> {
-          if (!mayLeave.map(BooleanSupplier::getAsBoolean).orElse(true)) {
-            request.release();
-            call.failed(ExchangeFault.REFUSED);
-            return;
-          }
-          Future<?> timer = loop.schedule(call::expire, limit.toNanos(), TimeUnit.NANOSECONDS);
-          call.reply.whenComplete((reply, failure) -> timer.cancel(false));
-          call.exchange = client.send(address, request, mayLeave.isEmpty(), limit, call);
-        });
-    return call.reply;
-  }
-
   private static final class PendingCall implements Exchange.Listener {
     private final CompletableFuture<EngineReply> reply = new CompletableFuture<>();
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/library/src/test/java/org/dandelionbeam/routing/VirtualFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/VirtualFleet.java
@@ -60,8 +60,6 @@
         .service(
             new ServiceSpec(
                 MODEL,
-                "/health",
-                500,
                 Duration.ofSeconds(3),
                 11,
                 Optional.of(new ServiceSpec.EngineSpec(96, ENGINE_MEMORY_TOKENS))))
--- a/library/src/test/java/org/dandelionbeam/walk/CombinedWalkTest.java
+++ b/library/src/test/java/org/dandelionbeam/walk/CombinedWalkTest.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import org.dandelionbeam.base.FailureDomain;
@@ -24,42 +23,27 @@
  */
 public class CombinedWalkTest {
   private static final long SEEDS = Long.getLong("walk.seeds", 30);
-  private static final Set<Long> PROMISES_KNOWN_RED = Set.of();
-  private static final Set<Long> USABLE_KNOWN_RED = Set.of();
   private static final int STEPS = 2_500;
   private static final int HEALED_STEPS = 3_000;
   private static final long MARK_SPREAD = Duration.ofSeconds(3).toNanos();
 
   @DataProvider
-  public Object[][] promiseSeeds() {
-    return seedsWithout(PROMISES_KNOWN_RED);
+  public Object[][] seeds() {
+    Long one = Long.getLong("walk.seed");
+    LongStream seeds = one == null ? LongStream.range(0, SEEDS) : LongStream.of(one);
+    return seeds.mapToObj(seed -> new Object[] {seed}).toArray(Object[][]::new);
   }
 
-  @Test(dataProvider = "promiseSeeds")
+  @Test(dataProvider = "seeds")
   public void promisesHoldInARandomWalkAndNoSlotIsLostOnceItIsHealed(long seed) {
     traced(seed, CombinedWalkTest::assertWhole);
   }
 
-  @DataProvider
-  public Object[][] usableSeeds() {
-    return seedsWithout(USABLE_KNOWN_RED);
-  }
-
-  @Test(dataProvider = "usableSeeds")
+  @Test(dataProvider = "seeds")
   public void allSlotsAreUsableOnceItIsHealed(long seed) {
     traced(seed, CombinedWalkTest::assertUsable);
   }
 
-  /** Returns all seeds but those in KNOWN-RED.txt, which run when they are asked for. */
-  private static Object[][] seedsWithout(Set<Long> knownRed) {
-    Long one = Long.getLong("walk.seed");
-    LongStream seeds = one == null ? LongStream.range(0, SEEDS) : LongStream.of(one);
-    return seeds
-        .filter(seed -> one != null || !knownRed.contains(seed))
-        .mapToObj(seed -> new Object[] {seed})
-        .toArray(Object[][]::new);
-  }
-
   private static void traced(long seed, Consumer<WalkFleet> last) {
     int size = 3 + (int) (seed % 4);
     WalkFleet fleet = new WalkFleet(seed, size);
