Stop looking for engines to ask once the time for it is over

Every 100 ms the reader listed services and engines for the rest of the process's life, although it asks for 3 s only. The list's bytes are collected by the class that is made for it.

--- a/library/src/main/java/org/dandelionbeam/routing/wiring/HeldPartsReader.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/HeldPartsReader.java
@@ -6,11 +6,12 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.dandelionbeam.base.Verdict;
@@ -35,7 +36,7 @@
 
   private final RouterContext router;
   private final Set<Integer> asked = new HashSet<>();
-  private long startNanos;
+  private OptionalLong firstAskNanos = OptionalLong.empty();
 
   HeldPartsReader(RouterContext router) {
     this.router = requireNonNull(router, "router");
@@ -44,10 +45,13 @@
   /** Asks the engines that were not asked yet, for some time after the first one was known. */
   void askNew() {
     long now = router.tick();
+    if (firstAskNanos.isPresent() && now - firstAskNanos.getAsLong() >= ASK_FOR.toNanos()) {
+      return;
+    }
     for (ServiceSpec service : services()) {
       for (UpstreamInstance engine : router.fleet().upstreams().usable(service.name())) {
-        startNanos = asked.isEmpty() ? now : startNanos;
-        if (now - startNanos < ASK_FOR.toNanos() && asked.add(LoadBoard.numberOf(engine))) {
+        if (asked.add(LoadBoard.numberOf(engine))) {
+          firstAskNanos = OptionalLong.of(firstAskNanos.orElse(now));
           ask(engine);
         }
       }
@@ -73,7 +77,7 @@
   /** The answer of one engine. */
   private final class Answer implements UpstreamExchange.Listener {
     private final UpstreamInstance engine;
-    private byte[] body = new byte[0];
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private boolean usable;
 
     Answer(UpstreamInstance engine) {
@@ -87,12 +91,9 @@
 
     @Override
     public void content(ByteBuf part) {
-      usable &= body.length + part.readableBytes() <= MAX_BODY_BYTES;
+      usable &= body.size() + part.readableBytes() <= MAX_BODY_BYTES;
       if (usable) {
-        byte[] more = ByteBufUtil.getBytes(part);
-        byte[] joined = Arrays.copyOf(body, body.length + more.length);
-        System.arraycopy(more, 0, joined, body.length, more.length);
-        body = joined;
+        body.writeBytes(ByteBufUtil.getBytes(part));
       }
     }
 
@@ -106,7 +107,7 @@
         return;
       }
       try {
-        List<PromptShape.Part> parts = router.dialect().readHeldParts(body);
+        List<PromptShape.Part> parts = router.dialect().readHeldParts(body.toByteArray());
         router.fleet().cache().listed(LoadBoard.numberOf(engine), parts, router.tick());
         log("listed", parts.size());
       } catch (IOException e) {
