--- a/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
@@ -149,10 +149,7 @@
       fleet.step();
     }
 
-    long reread = 0;
-    for (int i = 0; i < fleet.routerCount(); i++) {
-      reread += fleet.router(i).rereadTokens;
-    }
+    long reread = fleet.rereadTokens();
     long sessions = 40;
     assertTrue(reread <= 2 * sessions * 600, "tokens of shared parts read: " + reread);
   }
@@ -174,10 +171,7 @@
       fleet.step();
     }
 
-    long reread = 0;
-    for (int i = 0; i < fleet.routerCount(); i++) {
-      reread += fleet.router(i).rereadTokens;
-    }
+    long reread = fleet.rereadTokens();
     long firstReads = sessions * 5_000L;
     assertTrue(reread < 2 * firstReads, sent + " sent, shared tokens read: " + reread);
   }
--- a/library/src/test/java/org/dandelionbeam/routing/VirtualFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/VirtualFleet.java
@@ -244,6 +244,11 @@
     }
   }
 
+  /** Sums the tokens of shared parts that engines read because they didn't hold them. */
+  long rereadTokens() {
+    return routers.stream().mapToLong(router -> router.rereadTokens).sum();
+  }
+
   /** Sums what became of a team's requests at all routers. */
   int sum(java.util.function.Function<Router, Map<String, Integer>> counts, String team) {
     return routers.stream().mapToInt(router -> counts.apply(router).getOrDefault(team, 0)).sum();
