--- a/library/src/main/java/org/dandelionbeam/routing/ColdRateLimiter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/ColdRateLimiter.java
@@ -7,20 +7,21 @@
 import java.util.Map;
 
 /**
- * Limits the requests per second that this router sends to each cold upstream.
+ * Limits the requests per second that are sent to each cold upstream.
  *
- * <p>Each router takes an even share of the rate, rounded down, so that the routers together keep
- * the limit without coordination. Not thread-safe.
+ * <p>Only the router that schedules an upstream sends requests to it while it is cold. Its limit
+ * leaves room for a second router, as two may take themselves for the scheduler while they can't
+ * reach each other. Not thread-safe.
  */
 public final class ColdRateLimiter {
   /** Slightly longer than the one-second window in which upstreams count requests. */
   private static final Duration WINDOW = Duration.ofMillis(1_100);
 
-  /** Margin for routers that start after the number of routers was determined. */
-  private static final double SAFETY = 0.8;
+  /** Part of the rate that one router may use. */
+  private static final double SHARE = 0.45;
 
   private final FleetLimits limits;
-  private final Map<InstanceId, SlidingWindowCounter> recordSent = new HashMap<>();
+  private final Map<InstanceId, SlidingWindowCounter> sent = new HashMap<>();
 
   private ColdRateLimiter(FleetLimits limits) {
     this.limits = requireNonNull(limits, "limits");
@@ -37,18 +38,16 @@
   }
 
   /**
-   * Tells whether this router may send a request to a cold upstream now.
+   * Tells whether a request may be sent to a cold upstream now.
    *
    * @param id the upstream
    * @param requestsPerSecond request rate that the cold upstream can serve
-   * @param routers number of routers that share the rate
    * @param nowNanos monotonic time
-   * @return false if this router has used up its share
+   * @return false if this router has used up its part of the rate
    */
-  public boolean allows(InstanceId id, double requestsPerSecond, int routers, long nowNanos) {
+  public boolean allows(InstanceId id, double requestsPerSecond, long nowNanos) {
     double fleet = requestsPerSecond * limits.coldOverrun() + limits.coldTolerance();
-    int share = (int) (SAFETY * fleet / Math.max(1, routers));
-    return window(id).count(nowNanos) < share;
+    return window(id).count(nowNanos) < Math.floor(SHARE * fleet);
   }
 
   /**
@@ -67,10 +66,10 @@
    * @param id the upstream
    */
   public void forget(InstanceId id) {
-    recordSent.remove(id);
+    sent.remove(id);
   }
 
   private SlidingWindowCounter window(InstanceId id) {
-    return recordSent.computeIfAbsent(id, key -> SlidingWindowCounter.of(WINDOW));
+    return sent.computeIfAbsent(id, key -> SlidingWindowCounter.of(WINDOW));
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/Decision.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Decision.java
@@ -4,6 +4,8 @@
 
 /** Decision of the scheduler on a request. */
 public sealed interface Decision {
+  /** Shortest time after which a refused request may come back. */
+  Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
 
   /**
    * Returns the request.
--- a/library/src/main/java/org/dandelionbeam/routing/FleetMembers.java
+++ b/library/src/main/java/org/dandelionbeam/routing/FleetMembers.java
@@ -6,15 +6,18 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import org.dandelionbeam.base.FailureDomain;
 
 /**
- * The routers of the fleet: those registered in the store, and those that sent a report lately.
+ * The routers of the fleet: those registered in the store, and which of them are available.
  *
- * <p>A registration only gives the addresses of a router; its own reports show that it is alive.
- * Not thread-safe.
+ * <p>A registration only gives the addresses of a router. Reports, its own or those that sum up the
+ * reports of many, show that it is alive and accepts requests. Not thread-safe.
  */
 public final class FleetMembers {
   /**
@@ -23,15 +26,10 @@
    */
   private static final Duration LIVENESS_TIMEOUT = Duration.ofMillis(1_500);
 
-  /** A router that reported within this time may still use its share of the limits. */
-  private static final Duration LIMIT_SHARE_TIMEOUT = Duration.ofSeconds(12);
-
-  /** Fleet size that a router assumes until it has listed the registrations. */
-  private static final int INITIAL_LIMIT_SHARERS = 3;
-
   private final Member self;
-  private final Map<RouterName, Tracked> others = new HashMap<>();
+  private final Map<Integer, Tracked> others = new HashMap<>();
   private boolean listed;
+  private boolean serving = true;
 
   private FleetMembers(Member self) {
     this.self = requireNonNull(self, "self");
@@ -52,12 +50,18 @@
    *
    * @param name name of the router
    * @param callers address that callers connect to
-   * @param peers address that other routers send reports to
+   * @param peers address that other routers send messages to
    * @param domain failure domain that it runs in
    * @param incarnation number that grows with each start
+   * @param capacity processor capacity of its VM, in cores
    */
   public record Member(
-      RouterName name, Endpoint callers, Endpoint peers, FailureDomain domain, long incarnation) {}
+      RouterName name,
+      Endpoint callers,
+      Endpoint peers,
+      FailureDomain domain,
+      long incarnation,
+      double capacity) {}
 
   /**
    * Returns the registration of this router.
@@ -68,20 +72,40 @@
     return self;
   }
 
+  /**
+   * Sets whether this router accepts requests.
+   *
+   * @param isServing false before it has a configuration and while it drains
+   */
+  public void serving(boolean isServing) {
+    serving = isServing;
+  }
+
+  /**
+   * Tells whether the registrations of the store were read.
+   *
+   * @return true after the first listing
+   */
+  public boolean isListed() {
+    return listed;
+  }
+
   /**
    * Records the registration of a router, unless a newer one is known.
    *
    * @param member the registration
+   * @param nowNanos monotonic time
    */
-  public void recordRegistration(Member member) {
+  public void recordRegistration(Member member, long nowNanos) {
     if (member.name().equals(self.name())) {
       return;
     }
-    Tracked known = others.get(member.name());
-    if (known == null) {
-      others.put(member.name(), new Tracked(member));
-    } else if (known.member.incarnation() <= member.incarnation()) {
+    Tracked known = others.get(member.name().number());
+    if (known == null || known.member.incarnation() < member.incarnation()) {
+      others.put(member.name().number(), new Tracked(member, nowNanos));
+    } else if (known.member.incarnation() == member.incarnation()) {
       known.member = member;
+      known.registered = true;
     }
   }
 
@@ -89,101 +113,196 @@
    * Records all registrations of the store.
    *
    * @param members registrations of all routers
+   * @param nowNanos monotonic time
    */
-  public void listed(Collection<Member> members) {
+  public void listed(Collection<Member> members, long nowNanos) {
     listed = true;
-    members.forEach(this::recordRegistration);
+    members.forEach(member -> recordRegistration(member, nowNanos));
+  }
+
+  /**
+   * Removes a router whose registration is gone, unless it is available.
+   *
+   * @param name name of the router
+   * @param nowNanos monotonic time
+   */
+  public void removeRegistration(RouterName name, long nowNanos) {
+    Tracked known = others.get(name.number());
+    if (known != null) {
+      known.registered = false;
+      removeUnregistered(nowNanos);
+    }
   }
 
   /**
-   * Records a report of another router.
+   * Removes the routers that are neither registered nor available.
+   *
+   * @param nowNanos monotonic time
+   */
+  public void removeUnregistered(long nowNanos) {
+    others.values().removeIf(known -> !known.registered && !known.isPresent(nowNanos));
+  }
+
+  /**
+   * Records a report that a router sent itself.
    *
    * @param member registration that the report contains
    * @param serving whether the router accepts requests
    * @param nowNanos monotonic time
    */
   public void recordReport(Member member, boolean serving, long nowNanos) {
-    recordRegistration(member);
-    Tracked known = others.get(member.name());
+    recordRegistration(member, nowNanos);
+    Tracked known = others.get(member.name().number());
     if (known != null && known.member.incarnation() == member.incarnation()) {
-      known.lastHeardNanos = nowNanos;
-      known.everHeard = true;
-      known.serving = serving;
+      known.recordPresent(serving, nowNanos);
     }
   }
 
   /**
-   * Removes a router whose registration is gone, unless it still sends reports.
+   * Records that another router has lately heard from a router.
    *
-   * @param name name of the router
+   * @param number number of the router that was heard
+   * @param serving whether it accepts requests
    * @param nowNanos monotonic time
    */
-  public void removeRegistration(RouterName name, long nowNanos) {
-    Tracked known = others.get(name);
-    if (known != null && !known.wasHeardWithin(nowNanos, LIVENESS_TIMEOUT)) {
-      others.remove(name);
+  public void recordPresent(int number, boolean serving, long nowNanos) {
+    Tracked known = others.get(number);
+    if (known != null) {
+      known.recordPresent(serving, nowNanos);
     }
   }
 
   /**
-   * Returns the addresses of the routers that accept requests.
+   * Records a report on the whole fleet, which names the registered routers that are not available.
+   *
+   * @param unavailable numbers of these routers
+   * @param nowNanos monotonic time
+   */
+  public void recordFleetReport(Set<Integer> unavailable, long nowNanos) {
+    others.forEach(
+        (number, known) -> {
+          if (unavailable.contains(number)) {
+            known.recordAbsent();
+          } else {
+            known.recordPresent(true, nowNanos);
+          }
+        });
+  }
+
+  /**
+   * Tells whether a router is alive and accepts requests.
    *
-   * @param selfServing whether this router accepts requests
+   * @param number number of the router
    * @param nowNanos monotonic time
-   * @return addresses that callers connect to
+   * @return true if a recent report says so
    */
-  public List<Endpoint> servingAddresses(boolean selfServing, long nowNanos) {
-    List<Endpoint> addresses = new ArrayList<>();
-    if (selfServing) {
-      addresses.add(self.callers());
+  public boolean isAvailable(int number, long nowNanos) {
+    if (number == self.name().number()) {
+      return serving;
     }
+    Tracked known = others.get(number);
+    return known != null && known.isAvailable(nowNanos);
+  }
+
+  /**
+   * Returns the routers that are alive and accept requests.
+   *
+   * @param nowNanos monotonic time
+   * @return the routers; only this one if no other is available, whether it accepts requests or not
+   */
+  public List<Member> available(long nowNanos) {
+    List<Member> available = new ArrayList<>();
     for (Tracked known : others.values()) {
-      if (known.serving && known.wasHeardWithin(nowNanos, LIVENESS_TIMEOUT)) {
-        addresses.add(known.member.callers());
+      if (known.isAvailable(nowNanos)) {
+        available.add(known.member);
       }
     }
-    return addresses;
+    if (serving || available.isEmpty()) {
+      available.add(self);
+    }
+    return available;
+  }
+
+  /**
+   * Returns the known routers that are not available, without those that have just registered and
+   * could not report yet.
+   *
+   * @param nowNanos monotonic time
+   * @return numbers of the routers
+   */
+  public Set<Integer> unavailable(long nowNanos) {
+    Set<Integer> unavailable = new HashSet<>();
+    others.forEach(
+        (number, known) -> {
+          if (!known.isAvailable(nowNanos) && !known.isNew(nowNanos)) {
+            unavailable.add(number);
+          }
+        });
+    return unavailable;
   }
 
   /**
-   * Returns the routers that reports are sent to.
+   * Returns all known routers, available or not.
    *
-   * @return all known routers but this one
+   * @return the routers, with this one
    */
-  public List<Member> peers() {
-    return others.values().stream().map(known -> known.member).toList();
+  public List<Member> all() {
+    List<Member> all = new ArrayList<>();
+    all.add(self);
+    others.values().forEach(known -> all.add(known.member));
+    return all;
   }
 
   /**
-   * Counts the routers that may use a share of the limits for all routers together.
+   * Returns a known router.
    *
-   * @param nowNanos monotonic time
-   * @return the number of routers, this one included
+   * @param name name of the router
+   * @return the router, empty if it is not known
    */
-  public int countLimitSharers(long nowNanos) {
-    int active =
-        (int)
-            others.values().stream()
-                .filter(
-                    known ->
-                        !known.everHeard || known.wasHeardWithin(nowNanos, LIMIT_SHARE_TIMEOUT))
-                .count();
-    return listed ? active + 1 : Math.max(INITIAL_LIMIT_SHARERS, active + 1);
+  public Optional<Member> find(RouterName name) {
+    return name.equals(self.name())
+        ? Optional.of(self)
+        : Optional.ofNullable(others.get(name.number())).map(known -> known.member);
   }
 
   /** A router with the state of its reports. */
   private static final class Tracked {
+    private final long knownSinceNanos;
     private Member member;
-    private long lastHeardNanos;
-    private boolean everHeard;
+    private boolean registered = true;
+    private boolean reported;
+    private boolean present;
+    private long presentNanos;
     private boolean serving;
 
-    Tracked(Member member) {
+    Tracked(Member member, long nowNanos) {
       this.member = member;
+      knownSinceNanos = nowNanos;
+    }
+
+    boolean isNew(long nowNanos) {
+      return !reported && nowNanos - knownSinceNanos <= LIVENESS_TIMEOUT.toNanos();
+    }
+
+    void recordPresent(boolean isServing, long nowNanos) {
+      reported = true;
+      present = true;
+      presentNanos = nowNanos;
+      serving = isServing;
+    }
+
+    void recordAbsent() {
+      reported = true;
+      present = false;
+      serving = false;
+    }
+
+    boolean isPresent(long nowNanos) {
+      return present && nowNanos - presentNanos <= LIVENESS_TIMEOUT.toNanos();
     }
 
-    boolean wasHeardWithin(long nowNanos, Duration within) {
-      return everHeard && nowNanos - lastHeardNanos <= within.toNanos();
+    boolean isAvailable(long nowNanos) {
+      return serving && isPresent(nowNanos);
     }
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/FleetState.java
+++ b/library/src/main/java/org/dandelionbeam/routing/FleetState.java
@@ -24,7 +24,7 @@
 
   private FleetState(FleetLimits limits, FleetMembers members) {
     coldRateLimiter = ColdRateLimiter.of(limits);
-    retryBudget = RetryBudget.of(limits);
+    retryBudget = RetryBudget.of(limits, members.self().name().number());
     this.members = requireNonNull(members, "members");
   }
 
@@ -110,7 +110,7 @@
   }
 
   /**
-   * Returns the recent failures of the upstreams.
+   * Returns the recent failures of the upstreams, as seen by the requests of this router's callers.
    *
    * @return the record
    */
@@ -182,15 +182,6 @@
     return prefillRates.computeIfAbsent(service, key -> PrefillRateEstimator.create());
   }
 
-  /**
-   * Returns the number of routers that share the fleet's limits.
-   *
-   * @return the number, 1 or more
-   */
-  public int limitSharers() {
-    return members.countLimitSharers(nowNanos);
-  }
-
   /**
    * Sets the current time.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/PrefixCacheModel.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PrefixCacheModel.java
@@ -13,9 +13,9 @@
 /**
  * Models which parts of prompts each engine probably has in its prefix cache.
  *
- * <p>It replays the prompts that this router and its peers sent to each engine against a cache of
- * the engine's size, which evicts the least recently used parts as the engine does. Engines are
- * identified by the number of {@link LoadTracker#numberOf}. Not thread-safe.
+ * <p>It replays the prompts that this router granted to each engine against a cache of the engine's
+ * size, which evicts the least recently used parts as the engine does. Engines are identified by
+ * {@link UpstreamInstance#number}. Not thread-safe.
  */
 public final class PrefixCacheModel {
   /**
@@ -46,7 +46,6 @@
         }
       };
 
-  private final List<SentPrompt> unreported = new ArrayList<>();
   private long memoryTokens;
 
   private PrefixCacheModel() {}
@@ -70,32 +69,20 @@
   }
 
   /**
-   * Records that this router sends a prompt to an engine.
+   * Records that a prompt is sent to an engine.
    *
    * @param profile profile of the request
    * @param engine number of the engine
    * @param nowNanos monotonic time
    */
   public void recordSent(PromptProfile profile, int engine, long nowNanos) {
-    if (!profile.parts().isEmpty()) {
-      SentPrompt prompt = new SentPrompt(engine, profile.parts());
-      recordPeerSent(prompt, nowNanos);
-      unreported.add(prompt);
+    if (profile.parts().isEmpty()) {
+      return;
     }
-  }
-
-  /**
-   * Records that a peer sent a prompt to an engine.
-   *
-   * @param prompt the prompt
-   * @param nowNanos monotonic time
-   */
-  public void recordPeerSent(SentPrompt prompt, long nowNanos) {
-    EngineCache memory =
-        engines.computeIfAbsent(prompt.engine(), engine -> new EngineCache(nowNanos));
-    long prefill = prompt.tokens() - memory.cachedTokens(prompt.parts());
-    memory.prefill(prefill, nowNanos);
-    memory.recordUse(prompt.parts(), (long) (CACHED_PARTS_SHARE * memoryTokens));
+    EngineCache memory = engines.computeIfAbsent(engine, number -> new EngineCache(nowNanos));
+    long tokens = profile.parts().stream().mapToLong(PromptProfile.Part::tokens).sum();
+    memory.prefill(tokens - memory.cachedTokens(profile.parts()), nowNanos);
+    memory.recordUse(profile.parts(), (long) (CACHED_PARTS_SHARE * memoryTokens));
   }
 
   /**
@@ -124,17 +111,6 @@
     return memory == null ? 0 : memory.recentPrefillTokens(nowNanos);
   }
 
-  /**
-   * Returns the prompts that this router sent since the last call, and clears the list.
-   *
-   * @return the prompts in the order in which they were sent
-   */
-  public List<SentPrompt> drainSentPrompts() {
-    List<SentPrompt> taken = List.copyOf(unreported);
-    unreported.clear();
-    return taken;
-  }
-
   /**
    * Estimates the number of prompt tokens that an engine need not prefill.
    *
@@ -159,7 +135,7 @@
     if (profile.parts().isEmpty()) {
       return Map.of();
     }
-    long hash = profile.parts().get(Math.max(0, profile.parts().size() - 2)).hash();
+    long hash = profile.affinityHash();
     List<Integer> order = new ArrayList<>(engines);
     order.sort(Comparator.comparingLong(engine -> weight(hash, engine)));
     Map<Integer, Integer> ranks = new HashMap<>();
@@ -169,6 +145,19 @@
     return ranks;
   }
 
+  /**
+   * Returns the engine that all routers prefer for a prompt.
+   *
+   * @param hash hash of the prompt, see {@link PromptProfile#affinityHash}
+   * @param engines the engines that may be chosen, at least one
+   * @return the engine with rank 0
+   */
+  public static UpstreamInstance preferred(long hash, Collection<UpstreamInstance> engines) {
+    return engines.stream()
+        .min(Comparator.comparingLong(engine -> weight(hash, engine.number())))
+        .orElseThrow();
+  }
+
   private static long weight(long hash, int engine) {
     long mixed = (hash ^ engine) * HASH_MULTIPLIER;
     mixed ^= mixed >>> Integer.SIZE;
--- a/library/src/main/java/org/dandelionbeam/routing/PromptProfile.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PromptProfile.java
@@ -71,6 +71,16 @@
     return sum;
   }
 
+  /**
+   * Returns the hash by which engines are preferred, so that prompts with the same shared parts go
+   * to the same engine.
+   *
+   * @return hash of the last shared part, or of the only part; 0 if the prompt has no parts
+   */
+  public long affinityHash() {
+    return parts.isEmpty() ? 0 : parts.get(Math.max(0, parts.size() - 2)).hash();
+  }
+
   /**
    * Returns the number of prompt tokens that an engine usually has to prefill, as the parts before
    * are cached.
--- a/library/src/main/java/org/dandelionbeam/routing/RouterName.java
+++ b/library/src/main/java/org/dandelionbeam/routing/RouterName.java
@@ -31,6 +31,15 @@
     return new RouterName(text);
   }
 
+  /**
+   * Returns the number that identifies the router in messages between routers.
+   *
+   * @return hash of the name
+   */
+  public int number() {
+    return text.hashCode();
+  }
+
   @Override
   public int compareTo(RouterName other) {
     return text.compareTo(other.text);
--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.dandelionbeam.base.FailureDomain;
 
 /**
  * Decides which request is sent to which upstream, which one waits and which one is refused.
@@ -39,30 +38,41 @@
    */
   private static final Duration TYPICAL_FIRST_OUTPUT_DELAY = Duration.ofMillis(120);
 
-  private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(2);
 
   /** Typical duration of a request to a plain service, after which a slot is free again. */
   private static final Duration PLAIN_REQUEST_TIME = Duration.ofMillis(80);
 
   private final FleetState fleet;
+  private final UpstreamScope scope;
+  private final UpstreamHealth health = UpstreamHealth.create();
   private final UpstreamSelector selector;
   private final Map<ServiceName, List<Ticket>> waiting = new LinkedHashMap<>();
 
-  private Scheduler(FleetState fleet, FailureDomain ownDomain) {
+  private Scheduler(FleetState fleet, UpstreamScope scope) {
     this.fleet = requireNonNull(fleet, "fleet");
-    selector = new UpstreamSelector(fleet, ownDomain);
+    this.scope = requireNonNull(scope, "scope");
+    selector = new UpstreamSelector(fleet, scope, health);
   }
 
   /**
    * Creates a scheduler without requests.
    *
    * @param fleet state of the fleet
-   * @param ownDomain failure domain that this router runs in
+   * @param scope upstreams that the scheduler decides on
    * @return the scheduler
    */
-  public static Scheduler of(FleetState fleet, FailureDomain ownDomain) {
-    return new Scheduler(fleet, ownDomain);
+  public static Scheduler of(FleetState fleet, UpstreamScope scope) {
+    return new Scheduler(fleet, scope);
+  }
+
+  /**
+   * Returns the recent failures of the upstreams, as reported for all granted requests.
+   *
+   * @return the record
+   */
+  public UpstreamHealth health() {
+    return health;
   }
 
   /**
@@ -113,7 +123,7 @@
 
   private void pollService(ServiceName name, List<Ticket> queue, List<Decision> decisions) {
     Optional<ServiceSpec> spec = specOf(name);
-    boolean served = spec.isPresent() && !fleet.upstreams().usable(name).isEmpty();
+    boolean served = spec.isPresent() && !scope.upstreams(name).isEmpty();
     for (Ticket ticket : byPriority(queue)) {
       if (!served) {
         queue.remove(ticket);
@@ -189,7 +199,7 @@
 
   private void recordGrant(Decision.Granted grant) {
     Ticket ticket = grant.ticket();
-    int number = LoadTracker.numberOf(grant.instance());
+    int number = grant.instance().number();
     fleet.loads().add(number, grant.addedLoad());
     fleet.coldRateLimiter().recordSent(grant.instance().id(), fleet.nowNanos());
     fleet.prefixCaches().recordSent(ticket.prompt(), number, fleet.nowNanos());
@@ -217,7 +227,7 @@
    */
   public void recordFirstOutput(Decision.Granted grant, Duration elapsed) {
     long prefill = grant.addedLoad().prefillTokens();
-    fleet.loads().subtract(LoadTracker.numberOf(grant.instance()), new UpstreamLoad(0, prefill, 0));
+    fleet.loads().subtract(grant.instance().number(), new UpstreamLoad(0, prefill, 0));
     if (prefill > 0) {
       fleet
           .prefillRate(grant.ticket().service())
@@ -237,7 +247,7 @@
     fleet
         .loads()
         .subtract(
-            LoadTracker.numberOf(grant.instance()),
+            grant.instance().number(),
             new UpstreamLoad(addedLoad.inFlight(), prefill, addedLoad.memoryTokens()));
   }
 
@@ -255,29 +265,25 @@
     Duration wait =
         specOf(ticket.service())
             .map(spec -> Duration.ofNanos(waitNanos(queue, ticket.service(), spec)))
-            .orElse(MIN_RETRY_AFTER);
-    Duration atLeast = wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait;
+            .orElse(Decision.MIN_RETRY_AFTER);
+    Duration atLeast =
+        wait.compareTo(Decision.MIN_RETRY_AFTER) < 0 ? Decision.MIN_RETRY_AFTER : wait;
     Duration bounded = atLeast.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : atLeast;
     return new Decision.Refused(ticket, reason, bounded);
   }
 
-  /**
-   * Returns the time until the given waiting requests have been served, if the routers share the
-   * upstreams evenly.
-   */
+  /** Returns the time until the given waiting requests have been served. */
   private long waitNanos(List<Ticket> queue, ServiceName service, ServiceSpec spec) {
-    int routers = fleet.limitSharers();
     if (spec.engine().isEmpty()) {
-      double slots = Math.max(1, slotsOf(service)) / (double) routers;
-      return (long) (queue.size() * PLAIN_REQUEST_TIME.toNanos() / slots);
+      return queue.size() * PLAIN_REQUEST_TIME.toNanos() / Math.max(1, slotsOf(service));
     }
-    double engines = Math.max(1, fleet.upstreams().usable(service).size()) / (double) routers;
+    double engines = Math.max(1, scope.upstreams(service).size());
     long tokens = queue.stream().mapToLong(ticket -> ticket.prompt().unsharedTokens()).sum();
     return (long) (fleet.prefillRate(service).prefillNanos(tokens) / engines);
   }
 
   private int slotsOf(ServiceName service) {
-    return fleet.upstreams().usable(service).stream().mapToInt(UpstreamInstance::slots).sum();
+    return scope.upstreams(service).stream().mapToInt(UpstreamInstance::slots).sum();
   }
 
   private static long maxWaitNanos(Ticket ticket) {
--- a/library/src/main/java/org/dandelionbeam/routing/ServiceName.java
+++ b/library/src/main/java/org/dandelionbeam/routing/ServiceName.java
@@ -31,6 +31,15 @@
     return new ServiceName(text);
   }
 
+  /**
+   * Returns the number that identifies the service in messages between routers.
+   *
+   * @return hash of the name
+   */
+  public int number() {
+    return text.hashCode();
+  }
+
   @Override
   public int compareTo(ServiceName other) {
     return text.compareTo(other.text);
--- a/library/src/main/java/org/dandelionbeam/routing/TeamName.java
+++ b/library/src/main/java/org/dandelionbeam/routing/TeamName.java
@@ -31,6 +31,15 @@
     return new TeamName(text);
   }
 
+  /**
+   * Returns the number that identifies the team in messages between routers.
+   *
+   * @return hash of the name
+   */
+  public int number() {
+    return text.hashCode();
+  }
+
   @Override
   public int compareTo(TeamName other) {
     return text.compareTo(other.text);
--- a/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
+++ b/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
@@ -1,12 +1,11 @@
 package org.dandelionbeam.routing;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * Tracks the recent usage of each team, at this router and at its peers.
+ * Tracks the recent usage of each team, at this router and at all others.
  *
  * <p>Usage is the cost of the requests that were granted to a team. It decays, so that a team that
  * was idle for long gets no lasting precedence. Not thread-safe.
@@ -18,13 +17,14 @@
    */
   private static final Duration HALF_LIFE = Duration.ofMillis(600);
 
-  private static final Duration PEER_REPORT_MAX_AGE = Duration.ofSeconds(2);
+  private static final Duration OTHERS_MAX_AGE = Duration.ofSeconds(2);
 
   /** The sums change little within this time, which spans many decisions. */
   private static final Duration SUMMARY_MAX_AGE = Duration.ofMillis(50);
 
   private final Map<Integer, DecayingAmount> localUsage = new HashMap<>();
-  private final Map<RouterName, Report> peers = new HashMap<>();
+  private Map<Integer, Double> others = Map.of();
+  private long othersAtNanos;
 
   private double mean;
   private double largest;
@@ -41,6 +41,16 @@
     return new TeamUsage();
   }
 
+  /**
+   * Returns the part of the usage that remains after some time.
+   *
+   * @param elapsedNanos the time in nanoseconds
+   * @return 0 to 1
+   */
+  public static double decay(long elapsedNanos) {
+    return new DecayingAmount(1, 0, HALF_LIFE).valueAt(Math.max(0, elapsedNanos));
+  }
+
   /**
    * Records usage that this router grants to a team.
    *
@@ -50,20 +60,20 @@
    */
   public void recordUsage(TeamName team, double cost, long nowNanos) {
     localUsage.merge(
-        numberOf(team),
+        team.number(),
         new DecayingAmount(cost, nowNanos, HALF_LIFE),
         (old, added) -> old.plus(cost, nowNanos));
   }
 
   /**
-   * Replaces the usage reported by a peer.
+   * Replaces the usage that all other routers granted.
    *
-   * @param peer name of the peer
-   * @param usage decayed cost by number of the team, a hash of its name
+   * @param usage decayed cost by number of the team
    * @param nowNanos monotonic time
    */
-  public void recordPeerUsage(RouterName peer, Map<Integer, Double> usage, long nowNanos) {
-    peers.put(peer, new Report(Map.copyOf(usage), nowNanos));
+  public void recordOthers(Map<Integer, Double> usage, long nowNanos) {
+    others = Map.copyOf(usage);
+    othersAtNanos = nowNanos;
   }
 
   /**
@@ -71,18 +81,18 @@
    *
    * @param team the team
    * @param nowNanos monotonic time
-   * @return decayed cost, summed over this router and the peers that reported lately
+   * @return decayed cost, summed over all routers
    */
   public double usageOf(TeamName team, long nowNanos) {
-    int number = numberOf(team);
-    DecayingAmount local = localUsage.get(number);
+    DecayingAmount local = localUsage.get(team.number());
     double sum = local == null ? 0 : local.valueAt(nowNanos);
-    for (Report report : peers.values()) {
-      if (nowNanos - report.atNanos < PEER_REPORT_MAX_AGE.toNanos()) {
-        sum += report.at(number, nowNanos);
-      }
-    }
-    return sum;
+    Double other = others.get(team.number());
+    return other == null ? sum : sum + other * othersDecay(nowNanos);
+  }
+
+  private double othersDecay(long nowNanos) {
+    long age = nowNanos - othersAtNanos;
+    return age < OTHERS_MAX_AGE.toNanos() ? decay(age) : 0;
   }
 
   /**
@@ -113,24 +123,13 @@
     if (nowNanos - summaryAtNanos <= SUMMARY_MAX_AGE.toNanos() && summaryAtNanos != 0) {
       return;
     }
-    Collection<Double> all = usageByTeam(nowNanos).values();
-    mean = all.stream().mapToDouble(Double::doubleValue).average().orElse(0);
-    largest = all.stream().mapToDouble(Double::doubleValue).max().orElse(0);
-    summaryAtNanos = nowNanos;
-  }
-
-  private Map<Integer, Double> usageByTeam(long nowNanos) {
     Map<Integer, Double> all = new HashMap<>();
-    localUsage.forEach((team, faded) -> all.merge(team, faded.valueAt(nowNanos), Double::sum));
-    for (Report report : peers.values()) {
-      if (nowNanos - report.atNanos < PEER_REPORT_MAX_AGE.toNanos()) {
-        report
-            .usage
-            .keySet()
-            .forEach(team -> all.merge(team, report.at(team, nowNanos), Double::sum));
-      }
-    }
-    return all;
+    localUsage.forEach((team, amount) -> all.merge(team, amount.valueAt(nowNanos), Double::sum));
+    double decay = othersDecay(nowNanos);
+    others.forEach((team, amount) -> all.merge(team, amount * decay, Double::sum));
+    mean = all.values().stream().mapToDouble(Double::doubleValue).average().orElse(0);
+    largest = all.values().stream().mapToDouble(Double::doubleValue).max().orElse(0);
+    summaryAtNanos = nowNanos;
   }
 
   /**
@@ -138,24 +137,12 @@
    * than 1.
    *
    * @param nowNanos monotonic time
-   * @return decayed cost by number of the team, a hash of its name
+   * @return decayed cost by number of the team
    */
   public Map<Integer, Double> localUsage(long nowNanos) {
     Map<Integer, Double> report = new HashMap<>();
-    localUsage.values().removeIf(faded -> faded.valueAt(nowNanos) < 1);
-    localUsage.forEach((team, faded) -> report.put(team, faded.valueAt(nowNanos)));
+    localUsage.values().removeIf(amount -> amount.valueAt(nowNanos) < 1);
+    localUsage.forEach((team, amount) -> report.put(team, amount.valueAt(nowNanos)));
     return report;
   }
-
-  private static int numberOf(TeamName team) {
-    return team.text().hashCode();
-  }
-
-  /** Usage that a peer granted, as of its last report. */
-  private record Report(Map<Integer, Double> usage, long atNanos) {
-    double at(int team, long nowNanos) {
-      double amount = usage.getOrDefault(team, 0.0);
-      return new DecayingAmount(amount, atNanos, HALF_LIFE).valueAt(nowNanos);
-    }
-  }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/Ticket.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Ticket.java
@@ -3,19 +3,25 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import org.dandelionbeam.base.FailureDomain;
 
 /** A request that the scheduler assigns to an upstream. Not thread-safe. */
 public final class Ticket {
-  private final long number;
+  private static final TeamName UNKNOWN_TEAM = TeamName.of("unknown");
+
+  private long number;
   private final ServiceName service;
   private final TeamName team;
   private final PromptProfile prompt;
+  private final Optional<FailureDomain> domain;
   private final long arrivedNanos;
   private final long objectiveNanos;
   private final long deadlineNanos;
   private final long firstOutputTimeoutNanos;
-  private final Set<InstanceId> excluded = new HashSet<>();
+  private final Set<Integer> excluded = new HashSet<>();
   private long submittedNanos;
 
   private Ticket(Builder builder) {
@@ -23,8 +29,9 @@
     service = requireNonNull(builder.service, "service");
     team = requireNonNull(builder.team, "team");
     prompt = requireNonNull(builder.prompt, "prompt");
+    domain = builder.domain;
     arrivedNanos = builder.arrivedNanos;
-    submittedNanos = builder.arrivedNanos;
+    submittedNanos = builder.submittedNanos.orElse(builder.arrivedNanos);
     objectiveNanos = builder.objectiveNanos;
     deadlineNanos = builder.deadlineNanos;
     firstOutputTimeoutNanos =
@@ -42,7 +49,22 @@
   }
 
   /**
-   * Returns the number of the request.
+   * Returns a ticket that stands for a request whose grant is taken over from another scheduler.
+   *
+   * @param number number of the ticket, unique at this router
+   * @param service service of the request
+   * @param nowNanos monotonic time
+   * @return the ticket
+   */
+  public static Ticket adopted(long number, ServiceName service, long nowNanos) {
+    return builder(number)
+        .request(service, UNKNOWN_TEAM, PromptProfile.NONE)
+        .times(nowNanos, nowNanos, nowNanos)
+        .build();
+  }
+
+  /**
+   * Returns the number of the submission.
    *
    * @return number that is unique at this router
    */
@@ -77,6 +99,15 @@
     return prompt;
   }
 
+  /**
+   * Returns the failure domain that the request is sent from.
+   *
+   * @return domain of the router of the caller, empty if it doesn't matter
+   */
+  public Optional<FailureDomain> domain() {
+    return domain;
+  }
+
   /**
    * Returns when the request arrived.
    *
@@ -89,9 +120,11 @@
   /**
    * Records that the request is submitted again after its upstream failed.
    *
+   * @param newNumber number that replaces the earlier one
    * @param nowNanos monotonic time
    */
-  public void recordResubmission(long nowNanos) {
+  public void recordResubmission(long newNumber, long nowNanos) {
+    number = newNumber;
     submittedNanos = nowNanos;
   }
 
@@ -134,20 +167,29 @@
   /**
    * Excludes an upstream that the request was sent to from further attempts.
    *
-   * @param id the upstream
+   * @param upstream number of the upstream
    */
-  public void exclude(InstanceId id) {
-    excluded.add(id);
+  public void exclude(int upstream) {
+    excluded.add(upstream);
+  }
+
+  /**
+   * Returns the upstreams that are excluded.
+   *
+   * @return numbers of the upstreams
+   */
+  public Set<Integer> excluded() {
+    return Set.copyOf(excluded);
   }
 
   /**
    * Tells whether an upstream is excluded.
    *
-   * @param id the upstream
+   * @param upstream number of the upstream
    * @return true if the request was sent to it already
    */
-  public boolean isExcluded(InstanceId id) {
-    return excluded.contains(id);
+  public boolean isExcluded(int upstream) {
+    return excluded.contains(upstream);
   }
 
   /** Builds a ticket. */
@@ -156,10 +198,12 @@
     private ServiceName service;
     private TeamName team;
     private PromptProfile prompt = PromptProfile.NONE;
+    private Optional<FailureDomain> domain = Optional.empty();
     private long arrivedNanos;
     private long objectiveNanos;
     private long deadlineNanos;
     private long firstOutputTimeoutNanos = Long.MAX_VALUE;
+    private OptionalLong submittedNanos = OptionalLong.empty();
 
     private Builder(long number) {
       this.number = number;
@@ -180,6 +224,17 @@
       return this;
     }
 
+    /**
+     * Sets the failure domain that the request is sent from.
+     *
+     * @param newDomain domain of the router of the caller
+     * @return this builder
+     */
+    public Builder from(FailureDomain newDomain) {
+      domain = Optional.of(newDomain);
+      return this;
+    }
+
     /**
      * Sets the monotonic times.
      *
@@ -195,6 +250,17 @@
       return this;
     }
 
+    /**
+     * Sets the time since which the request waits, if that isn't its arrival.
+     *
+     * @param newSubmittedNanos monotonic time
+     * @return this builder
+     */
+    public Builder submitted(long newSubmittedNanos) {
+      submittedNanos = OptionalLong.of(newSubmittedNanos);
+      return this;
+    }
+
     /**
      * Sets how long the caller waits for the first output.
      *
--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.dandelionbeam.base.FailureDomain;
 
@@ -31,9 +32,11 @@
   static final Duration REMOVAL_GRACE = Duration.ofMillis(1_200);
 
   private final Map<InstanceId, Tracked> tracked = new HashMap<>();
+  private final Map<ServiceName, List<UpstreamInstance>> usableByService = new HashMap<>();
   private final Set<FailureDomain> evacuated = new HashSet<>();
   private long storeUnreliableUntilNanos;
   private boolean storeHasFailed;
+  private long revision;
 
   private UpstreamDirectory() {}
 
@@ -64,6 +67,7 @@
       coldUntil = Math.max(coldUntil, known.coldUntilNanos);
     }
     tracked.put(instance.id(), new Tracked(instance, coldUntil));
+    recordChange();
     return newStart;
   }
 
@@ -83,9 +87,15 @@
       known.removeAtNanos = Math.min(known.removeAtNanos, nowNanos + grace);
     } else {
       tracked.remove(id);
+      recordChange();
     }
   }
 
+  private void recordChange() {
+    revision++;
+    usableByService.clear();
+  }
+
   /**
    * Replaces the known entries by a full listing.
    *
@@ -126,6 +136,7 @@
       if (known.removeAtNanos != Long.MAX_VALUE && nowNanos - known.removeAtNanos >= 0) {
         removed.add(known.instance.id());
         all.remove();
+        recordChange();
       }
     }
     return removed;
@@ -148,6 +159,7 @@
     }
     evacuated.clear();
     evacuated.addAll(domains);
+    recordChange();
   }
 
   /**
@@ -180,6 +192,19 @@
    * @return the upstreams, neither draining nor in a domain that is out of service
    */
   public List<UpstreamInstance> usable(ServiceName service) {
+    return usableByService.computeIfAbsent(service, this::findUsable);
+  }
+
+  /**
+   * Returns a number that grows with each change of the upstreams that may get requests.
+   *
+   * @return the number of changes so far
+   */
+  public long revision() {
+    return revision;
+  }
+
+  private List<UpstreamInstance> findUsable(ServiceName service) {
     List<UpstreamInstance> found = new ArrayList<>();
     for (Tracked known : tracked.values()) {
       UpstreamInstance instance = known.instance;
@@ -189,7 +214,30 @@
         found.add(instance);
       }
     }
-    return found;
+    return List.copyOf(found);
+  }
+
+  /**
+   * Returns the upstream with a number.
+   *
+   * @param number number of the upstream
+   * @return the upstream, empty if no known one has the number
+   */
+  public Optional<UpstreamInstance> find(int number) {
+    return tracked.values().stream()
+        .map(known -> known.instance)
+        .filter(instance -> instance.number() == number)
+        .findFirst();
+  }
+
+  /**
+   * Tells whether an upstream may get requests.
+   *
+   * @param instance the upstream
+   * @return false if it drains, is gone or is in a domain that is out of service
+   */
+  public boolean isUsable(UpstreamInstance instance) {
+    return usable(instance.service()).contains(instance);
   }
 
   /**
--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamInstance.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamInstance.java
@@ -26,6 +26,7 @@
     int slots,
     boolean draining,
     Duration coldRemaining) {
+  private static final int HASH_FACTOR = 31;
 
   /** Checks the values. */
   public UpstreamInstance {
@@ -44,4 +45,13 @@
   public String key() {
     return id.text() + "/" + incarnation;
   }
+
+  /**
+   * Returns the number that identifies this start of the upstream in messages between routers.
+   *
+   * @return hash of id and incarnation
+   */
+  public int number() {
+    return HASH_FACTOR * id.text().hashCode() + Long.hashCode(incarnation);
+  }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamSelector.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamSelector.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.dandelionbeam.base.FailureDomain;
 
 /**
  * Selects the upstream of a request.
@@ -88,11 +87,13 @@
   private static final double UNDERSERVED_RATIO = 0.6;
 
   private final FleetState fleet;
-  private final FailureDomain ownDomain;
+  private final UpstreamScope scope;
+  private final UpstreamHealth health;
 
-  UpstreamSelector(FleetState fleet, FailureDomain ownDomain) {
+  UpstreamSelector(FleetState fleet, UpstreamScope scope, UpstreamHealth health) {
     this.fleet = requireNonNull(fleet, "fleet");
-    this.ownDomain = requireNonNull(ownDomain, "ownDomain");
+    this.scope = requireNonNull(scope, "scope");
+    this.health = requireNonNull(health, "health");
   }
 
   /**
@@ -100,7 +101,7 @@
    * not avoided, or if all of these are avoided, all that it was not sent to yet.
    */
   List<UpstreamInstance> candidates(Ticket ticket, long nowNanos) {
-    return candidates(ticket, fleet.upstreams().usable(ticket.service()), nowNanos);
+    return candidates(ticket, scope.upstreams(ticket.service()), nowNanos);
   }
 
   private List<UpstreamInstance> candidates(
@@ -108,9 +109,9 @@
     List<UpstreamInstance> notExcluded = new ArrayList<>();
     List<UpstreamInstance> healthy = new ArrayList<>();
     for (UpstreamInstance instance : usable) {
-      if (!ticket.isExcluded(instance.id())) {
+      if (!ticket.isExcluded(instance.number())) {
         notExcluded.add(instance);
-        if (!fleet.health().isAvoided(instance.id(), nowNanos)) {
+        if (!health.isAvoided(instance.id(), nowNanos)) {
           healthy.add(instance);
         }
       }
@@ -125,7 +126,7 @@
    * another one only if that one meets the objective.
    */
   Optional<Decision.Granted> select(Ticket ticket, ServiceSpec spec, long nowNanos) {
-    List<UpstreamInstance> usable = fleet.upstreams().usable(ticket.service());
+    List<UpstreamInstance> usable = scope.upstreams(ticket.service());
     List<UpstreamInstance> candidates = candidates(ticket, usable, nowNanos);
     PrefixLocation prefix = locatePrefix(ticket, spec, usable, candidates);
     Candidate best = null;
@@ -159,12 +160,12 @@
     Map<Integer, Long> cachedByEngine = new HashMap<>();
     long mostCached = 0;
     for (UpstreamInstance instance : candidates) {
-      int number = LoadTracker.numberOf(instance);
+      int number = instance.number();
       long cached = fleet.prefixCaches().cachedTokens(profile, number);
       cachedByEngine.put(number, cached);
       mostCached = Math.max(mostCached, cached);
     }
-    List<Integer> numbers = usable.stream().map(LoadTracker::numberOf).toList();
+    List<Integer> numbers = usable.stream().map(UpstreamInstance::number).toList();
     long shared = profile.sharedTokens();
     return new PrefixLocation(
         PrefixCacheModel.ranks(profile, numbers),
@@ -212,19 +213,21 @@
     boolean withinColdRate =
         !cold
             || spec.coldRequestsPerSecond() <= 0
-            || fleet
-                .coldRateLimiter()
-                .allows(
-                    instance.id(), spec.coldRequestsPerSecond(), fleet.limitSharers(), nowNanos);
-    int number = LoadTracker.numberOf(instance);
-    UpstreamLoad load = fleet.loads().total(number, nowNanos);
+            || (scope.mayUseWhileCold(instance, nowNanos)
+                && fleet
+                    .coldRateLimiter()
+                    .allows(instance.id(), spec.coldRequestsPerSecond(), nowNanos));
+    int number = instance.number();
+    UpstreamLoad load = fleet.loads().load(number);
     Candidate candidate =
         spec.engine().isPresent() && ticket.prompt().isModelRequest()
             ? engineCandidate(ticket, spec.engine().get(), instance, number, load, prefix)
             : plainCandidate(instance, load);
     candidate.hasCapacity &= withinColdRate;
     candidate.meetsObjective &= withinColdRate;
-    if (!instance.domain().equals(ownDomain)) {
+    boolean otherDomain =
+        ticket.domain().isPresent() && !ticket.domain().get().equals(instance.domain());
+    if (otherDomain) {
       candidate.cost += candidate.otherDomainCost;
     }
     return candidate;
@@ -232,8 +235,7 @@
 
   private Candidate plainCandidate(UpstreamInstance instance, UpstreamLoad load) {
     Candidate candidate = new Candidate(instance, new UpstreamLoad(1, 0, 0), 0);
-    candidate.cost =
-        load.inFlight() + ERROR_COST_REQUESTS * fleet.health().errorRate(instance.id());
+    candidate.cost = load.inFlight() + ERROR_COST_REQUESTS * health.errorRate(instance.id());
     candidate.otherDomainCost = OTHER_DOMAIN_COST_REQUESTS;
     candidate.hasCapacity = load.inFlight() < Math.max(1, instance.slots());
     candidate.meetsObjective = candidate.hasCapacity;
@@ -262,7 +264,7 @@
             + prefill
             + (REPEATED_PREFILL_FACTOR - 1) * repeatedPrefill
             + newPrefixCost(prefix, number)
-            + ERROR_COST_TOKENS * fleet.health().errorRate(instance.id());
+            + ERROR_COST_TOKENS * health.errorRate(instance.id());
     candidate.otherDomainCost = OTHER_DOMAIN_COST_TOKENS;
     candidate.hasCapacity =
         load.inFlight() < Math.max(1, engine.slots())
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CachedPartsReader.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CachedPartsReader.java
@@ -9,27 +9,24 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.dandelionbeam.base.Verdict;
-import org.dandelionbeam.routing.LoadTracker;
 import org.dandelionbeam.routing.PromptProfile;
 import org.dandelionbeam.routing.ServiceSpec;
 import org.dandelionbeam.routing.UpstreamInstance;
 
 /**
- * Asks each engine once which prompt parts it has cached, so that a starting router does not treat
- * them as uncached. Confined to one event loop.
+ * Asks each engine which prompt parts it has cached when this router becomes its scheduler, so that
+ * the router does not treat them as uncached. Confined to one event loop.
  */
 final class CachedPartsReader {
-  /**
-   * Time after the first query in which new engines are queried; engines that appear later have
-   * cached nothing, or only what this router and its peers sent to them.
-   */
-  private static final Duration QUERY_PERIOD = Duration.ofSeconds(3);
+  /** Time for which an engine must be assigned to this router, as assignments may change twice. */
+  private static final Duration QUERY_DELAY = Duration.ofMillis(300);
 
   /** Timeout of a query; a late list is out of date, as new requests have changed the cache. */
   private static final Duration TIMEOUT = Duration.ofSeconds(1);
@@ -38,28 +35,29 @@
   private static final int MAX_BODY_BYTES = 1 << 20;
 
   private final RouterContext router;
+  private final Map<Integer, Long> assignedSince = new HashMap<>();
   private final Set<Integer> queried = new HashSet<>();
-  private OptionalLong firstQueryNanos = OptionalLong.empty();
 
   CachedPartsReader(RouterContext router) {
     this.router = requireNonNull(router, "router");
   }
 
-  /** Queries the engines that were not queried yet, unless the query period is over. */
+  /** Queries the engines that were assigned to this router lately. */
   void queryNewEngines() {
     long now = router.advanceTime();
-    if (firstQueryNanos.isPresent()
-        && now - firstQueryNanos.getAsLong() >= QUERY_PERIOD.toNanos()) {
-      return;
-    }
+    Set<Integer> assigned = new HashSet<>();
     for (ServiceSpec service : engineServices()) {
-      for (UpstreamInstance engine : router.fleet().upstreams().usable(service.name())) {
-        if (queried.add(LoadTracker.numberOf(engine))) {
-          firstQueryNanos = OptionalLong.of(firstQueryNanos.orElse(now));
+      for (UpstreamInstance engine :
+          router.scheduling().service().upstreams().assigned(service.name())) {
+        assigned.add(engine.number());
+        long since = assignedSince.computeIfAbsent(engine.number(), number -> now);
+        if (now - since >= QUERY_DELAY.toNanos() && queried.add(engine.number())) {
           query(engine);
         }
       }
     }
+    assignedSince.keySet().retainAll(assigned);
+    queried.retainAll(assigned);
   }
 
   private List<ServiceSpec> engineServices() {
@@ -112,10 +110,7 @@
       }
       try {
         List<PromptProfile.Part> parts = router.dialect().readCachedParts(body.toByteArray());
-        router
-            .fleet()
-            .prefixCaches()
-            .recordListing(LoadTracker.numberOf(engine), parts, router.advanceTime());
+        router.fleet().prefixCaches().recordListing(engine.number(), parts, router.advanceTime());
         log("listed", parts.size());
       } catch (IOException e) {
         log("unreadable response: " + e.getMessage(), 0);
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -13,27 +13,27 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.dandelionbeam.routing.DrainWindow;
 import org.dandelionbeam.routing.Endpoint;
+import org.dandelionbeam.routing.FleetMembers;
 import org.dandelionbeam.routing.FleetState;
 import org.dandelionbeam.routing.InstanceId;
 import org.dandelionbeam.routing.StoreVersions;
+import org.dandelionbeam.summary.SummaryExchange;
 
 /**
  * A router, which accepts requests of callers, forwards them to upstreams and exchanges reports
  * with its peers. Confined to one event loop; its methods must be called there.
  */
 public final class FleetRouter {
-  /**
-   * Interval of full reports, which make up for lost reports of changes; these are sent at once.
-   */
+  /** Short compared to the time in which the usage of teams changes. */
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(100);
 
-  /** Interval of new decisions on waiting requests; their phase differs from router to router. */
-  private static final Duration POLL_INTERVAL = Duration.ofMillis(12);
+  private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(12);
 
   private static final Duration STALE_CHECK_INTERVAL = Duration.ofMillis(100);
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
@@ -56,11 +56,29 @@
 
   private final RouterContext context;
   private final PeerLink peerLink;
+  private final SummaryExchange summaries;
   private Channel listener;
 
-  private FleetRouter(RouterContext context) {
-    this.context = context;
-    peerLink = new PeerLink(context);
+  private FleetRouter(
+      EventLoop loop, FleetState fleet, HttpDialect dialect, EventLog log, RouterMetrics metrics) {
+    UpstreamConnectionPool pool = new UpstreamConnectionPool(loop, ByteBufAllocator.DEFAULT);
+    peerLink = new PeerLink(loop, log, this::receive);
+    RequestScheduling scheduling = new RequestScheduling(loop, fleet, log, peerLink);
+    context = new RouterContext(loop, fleet, scheduling, dialect, pool, log, metrics);
+    summaries = SummaryExchange.of(fleet, this::isReady);
+    metrics.gauge("waiting_requests", () -> scheduling.service().waitingCount());
+    metrics.gauge("upstream_connections_opened", pool::openedCount);
+  }
+
+  private void receive(InetSocketAddress from, PeerMessage message) {
+    if (message instanceof PeerMessage.Summary summary) {
+      context.advanceTime();
+      summaries.receive(summary.message());
+    } else if (message instanceof PeerMessage.Requests requests) {
+      context.scheduling().receive(from, requests);
+    } else if (message instanceof PeerMessage.Replies replies) {
+      context.scheduling().receive(from, replies);
+    }
   }
 
   /**
@@ -76,11 +94,7 @@
   public static FleetRouter of(
       EventLoop loop, FleetState fleet, HttpDialect dialect, EventLog log, RouterMetrics metrics) {
     requireNonNull(loop, "loop");
-    UpstreamConnectionPool pool = new UpstreamConnectionPool(loop, ByteBufAllocator.DEFAULT);
-    RouterContext context = new RouterContext(loop, fleet, dialect, pool, log, metrics);
-    metrics.gauge("waiting_requests", () -> context.scheduler().waitingCount());
-    metrics.gauge("upstream_connections_opened", pool::openedCount);
-    return new FleetRouter(context);
+    return new FleetRouter(loop, fleet, dialect, log, metrics);
   }
 
   /** Starts to listen for callers and peers. */
@@ -100,12 +114,24 @@
             .syncUninterruptibly()
             .channel();
     peerLink.bind(context.fleet().members().self().peers());
-    context.onLoadChange(() -> peerLink.sendChanges(isReady()));
-    scheduleEvery(REPORT_INTERVAL, () -> peerLink.sendReport(isReady()));
-    scheduleEvery(POLL_INTERVAL, context::poll);
+    CachedPartsReader cachedParts = new CachedPartsReader(context);
+    scheduleEvery(
+        REPORT_INTERVAL,
+        () -> {
+          report();
+          context.scheduling().refresh();
+          cachedParts.queryNewEngines();
+        });
     scheduleEvery(SWEEP_INTERVAL, this::sweep);
-    CachedPartsReader heldParts = new CachedPartsReader(context);
-    scheduleEvery(STALE_CHECK_INTERVAL, heldParts::queryNewEngines);
+  }
+
+  private void report() {
+    context.advanceTime();
+    context.fleet().members().serving(isReady());
+    for (SummaryExchange.Outgoing outgoing : summaries.tick()) {
+      peerLink.send(
+          PeerLink.addressOf(outgoing.to().peers()), new PeerMessage.Summary(outgoing.message()));
+    }
   }
 
   private void scheduleEvery(Duration interval, Runnable task) {
@@ -149,7 +175,11 @@
    * @return addresses of the routers that accept requests
    */
   public List<Endpoint> addresses() {
-    return context.fleet().members().servingAddresses(isReady(), context.advanceTime());
+    long now = context.advanceTime();
+    return context.fleet().members().available(now).stream()
+        .filter(member -> isReady() || !member.equals(context.fleet().members().self()))
+        .map(FleetMembers.Member::callers)
+        .toList();
   }
 
   /**
@@ -164,7 +194,7 @@
 
   /** Schedules new decisions on waiting requests after a change of the fleet state. */
   public void schedulePoll() {
-    context.schedulePoll();
+    context.scheduling().schedulePoll();
   }
 
   /**
@@ -203,7 +233,7 @@
     Duration listenTime =
         limit.compareTo(LISTEN_WHILE_DRAINING) < 0 ? limit : LISTEN_WHILE_DRAINING;
     context.startDraining(DrainWindow.of(now, limit));
-    peerLink.sendReport(false);
+    report();
     context.log().line("leaving").with("open_connections", context.connections().size()).write();
     scheduleOnce(KEEP_IDLE_WHILE_DRAINING, this::closeIdleConnections);
     scheduleOnce(listenTime, () -> listener.close());
@@ -230,7 +260,7 @@
         .loop()
         .schedule(
             () -> awaitDrained(deadlineNanos, notBeforeNanos, done),
-            POLL_INTERVAL.toMillis(),
+            DRAIN_CHECK_INTERVAL.toMillis(),
             TimeUnit.MILLISECONDS);
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/PeerLink.java
@@ -6,117 +6,62 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Map;
+import java.util.function.BiConsumer;
 import org.dandelionbeam.routing.Endpoint;
-import org.dandelionbeam.routing.FleetMembers.Member;
-import org.dandelionbeam.routing.FleetState;
-import org.dandelionbeam.routing.RouterName;
-import org.dandelionbeam.routing.UpstreamLoad;
 
 /**
- * Exchanges reports between routers by UDP datagrams, which are not retransmitted, as each report
- * is followed by the next one.
+ * Exchanges messages between routers as UDP datagrams, which may be lost; whoever expects an answer
+ * repeats its message. Confined to one event loop.
  */
 final class PeerLink {
-  /** Full reports per report that contains team usage; usage changes little between two reports. */
-  private static final int REPORTS_PER_USAGE_REPORT = 2;
+  /** Longer datagrams would be cut off; all messages are kept well below. */
+  private static final int MAX_DATAGRAM_BYTES = 16 << 10;
 
-  private final RouterContext router;
+  private final EventLoop loop;
+  private final EventLog log;
+  private final BiConsumer<InetSocketAddress, PeerMessage> receiver;
   private Channel channel;
-  private int sequence;
 
-  PeerLink(RouterContext router) {
-    this.router = requireNonNull(router, "router");
+  PeerLink(EventLoop loop, EventLog log, BiConsumer<InetSocketAddress, PeerMessage> receiver) {
+    this.loop = requireNonNull(loop, "loop");
+    this.log = requireNonNull(log, "log");
+    this.receiver = requireNonNull(receiver, "receiver");
   }
 
-  /** Starts to listen for reports of peers. */
+  /** Starts to listen for messages. */
   void bind(Endpoint endpoint) {
     Bootstrap bootstrap =
         new Bootstrap()
-            .group(router.loop())
+            .group(loop)
             .channel(NioDatagramChannel.class)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(new Receiver());
     channel = bootstrap.bind(endpoint.host(), endpoint.port()).channel();
   }
 
-  /** Sends a full report of this router's load to all peers. */
-  void sendReport(boolean serving) {
-    FleetState fleet = router.fleet();
-    long now = router.advanceTime();
-    boolean withUsage = sequence % REPORTS_PER_USAGE_REPORT == 0;
-    sequence++;
-    fleet.loads().drainChanges();
-    send(
-        new PeerReport(
-            fleet.members().self(),
-            serving,
-            fleet.storeVersions(),
-            true,
-            fleet.loads().localLoads(),
-            fleet.prefixCaches().drainSentPrompts(),
-            withUsage ? fleet.usage().localUsage(now) : Map.of()));
+  static InetSocketAddress addressOf(Endpoint endpoint) {
+    return new InetSocketAddress(endpoint.host(), endpoint.port());
   }
 
-  /**
-   * Sends the changes since the last report at once, so that peers don't assign requests to the
-   * same free slots.
-   */
-  void sendChanges(boolean serving) {
-    FleetState fleet = router.fleet();
-    Map<Integer, UpstreamLoad> changes = fleet.loads().drainChanges();
-    if (!changes.isEmpty()) {
-      send(
-          new PeerReport(
-              fleet.members().self(),
-              serving,
-              fleet.storeVersions(),
-              false,
-              changes,
-              fleet.prefixCaches().drainSentPrompts(),
-              Map.of()));
-    }
-  }
-
-  private void send(PeerReport report) {
+  /** Sends a message, which is dropped while the link is not open. */
+  void send(InetSocketAddress to, PeerMessage message) {
     if (channel == null || !channel.isActive()) {
       return;
     }
     try {
-      byte[] bytes = report.encode();
-      for (Member peer : router.fleet().members().peers()) {
-        InetSocketAddress address = new InetSocketAddress(peer.peers().host(), peer.peers().port());
-        channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
-      }
-      channel.flush();
-    } catch (IOException e) {
-      router.log().line("report_failed").with("cause", e).write();
-    }
-  }
-
-  private void received(byte[] bytes) {
-    try {
-      PeerReport report = PeerReport.decode(bytes);
-      long now = router.advanceTime();
-      RouterName name = report.sender().name();
-      FleetState fleet = router.fleet();
-      fleet.staleStateDetector().recordPeerVersions(report.versions());
-      fleet.members().recordReport(report.sender(), report.serving(), now);
-      if (report.full()) {
-        fleet.loads().replacePeerLoads(name, report.loads(), now);
-      } else {
-        fleet.loads().mergePeerLoads(name, report.loads(), now);
-      }
-      report.prompts().forEach(prompt -> fleet.prefixCaches().recordPeerSent(prompt, now));
-      if (!report.usage().isEmpty()) {
-        fleet.usage().recordPeerUsage(name, report.usage(), now);
-      }
+      byte[] bytes = PeerMessageCodec.encode(message);
+      channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
     } catch (IOException e) {
-      router.log().line("report_unreadable").with("cause", e.getMessage()).write();
+      log.line("peer_message_not_sent").with("cause", e).write();
     }
   }
 
@@ -126,12 +71,16 @@
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
       byte[] bytes = new byte[packet.content().readableBytes()];
       packet.content().readBytes(bytes);
-      received(bytes);
+      try {
+        receiver.accept(packet.sender(), PeerMessageCodec.decode(bytes));
+      } catch (IOException e) {
+        log.line("peer_message_unreadable").with("cause", e.getMessage()).write();
+      }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      router.log().line("peer_link_error").with("cause", cause).write();
+      log.line("peer_link_error").with("cause", cause).write();
     }
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -23,12 +23,12 @@
 import org.dandelionbeam.base.Verdict;
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.InstanceId;
-import org.dandelionbeam.routing.LoadTracker;
 import org.dandelionbeam.routing.RouteKind;
 import org.dandelionbeam.routing.RouteRule;
 import org.dandelionbeam.routing.RoutingTable;
 import org.dandelionbeam.routing.TeamName;
 import org.dandelionbeam.routing.Ticket;
+import org.dandelionbeam.scheduling.Outcome;
 
 /** A request of a caller, from its arrival to its response. Confined to one event loop. */
 final class RequestTask implements UpstreamExchange.Listener {
@@ -135,13 +135,14 @@
     }
     ticket =
         Ticket.builder(router.nextTicketNumber())
+            .from(router.fleet().members().self().domain())
             .firstOutputTimeout(streams ? route.firstOutputTimeout().toNanos() : timeoutNanos)
             .request(route.pickService(router::random), team.orElse(NO_TEAM), metadata.prompt())
             .times(arrivedNanos, arrivedNanos + objectiveNanos, arrivedNanos + timeoutNanos)
             .build();
     router.fleet().retryBudget().recordRequest(ticket.service(), now);
     timer = router.loop().schedule(this::timedOut, timeoutNanos, TimeUnit.NANOSECONDS);
-    apply(router.scheduler().submit(ticket));
+    router.scheduling().submit(ticket, this);
   }
 
   /** Carries out a decision of the scheduler. */
@@ -152,20 +153,17 @@
     if (decision instanceof Decision.Granted granted) {
       send(granted);
     } else if (decision instanceof Decision.Refused refused) {
-      trace.refused(refused, router.scheduler().waitingCount(), router.now());
+      trace.refused(refused, router.scheduling().taskCount(), router.now());
       endUnserved(refused.retryAfter());
     } else {
-      trace.waiting(router.scheduler().waitingCount(), router.now());
-      router.addWaiting(ticket.number(), this);
+      trace.waiting(router.scheduling().taskCount(), router.now());
     }
   }
 
   private void send(Decision.Granted granted) {
     grant = granted;
-    router.scheduleLoadReport();
     long now = router.advanceTime();
-    int number = LoadTracker.numberOf(granted.instance());
-    trace.granted(granted, router.fleet().loads().total(number, now).inFlight(), now);
+    trace.granted(granted, now);
     if (attempts.isEmpty()) {
       router.metrics().recordDispatch(route.kind().name(), now - arrivedNanos);
     }
@@ -240,10 +238,8 @@
       firstOutputNanos = router.now();
       router.fleet().health().recordOutput(id());
       Duration elapsed = Duration.ofNanos(router.now() - sentNanos);
-      router.scheduler().recordFirstOutput(grant, elapsed);
-      router.scheduleLoadReport();
+      router.scheduling().recordFirstOutput(ticket, elapsed);
       trace.step("first_output", "status=" + upstreamStatus, router.now());
-      router.schedulePoll();
     }
   }
 
@@ -272,8 +268,8 @@
     }
     int status = upstreamStatus;
     router.fleet().health().recordResponse(id(), status < FIRST_SERVER_ERROR_STATUS);
-    ticket.exclude(id());
-    endGrant();
+    ticket.exclude(grant.instance().number());
+    endGrant(status < FIRST_SERVER_ERROR_STATUS ? Outcome.SERVED : Outcome.FAILED);
     attempts.recordRun(Verdict.RAN);
     if (relay.isForwarding()) {
       relay.forwardRemainder();
@@ -298,8 +294,8 @@
     if (misdirected) {
       router.fleet().health().recordUnreachable(id(), router.now());
     }
-    ticket.exclude(id());
-    endGrant();
+    ticket.exclude(grant.instance().number());
+    endGrant(misdirected ? Outcome.BROKEN : Outcome.ABANDONED);
     if (attempts.recordRejection() && tryAcquireRetry()) {
       resubmit("upstream rejected the request with status " + status);
     } else {
@@ -319,8 +315,8 @@
     } else {
       router.fleet().health().recordBrokenExchange(id(), router.now());
     }
-    ticket.exclude(id());
-    endGrant();
+    ticket.exclude(grant.instance().number());
+    endGrant(Outcome.BROKEN);
     relay.discard();
     if (failure == Verdict.NOT_RUN
         ? attempts.recordConnectFailure()
@@ -346,7 +342,7 @@
   }
 
   private boolean tryAcquireRetry() {
-    int routers = router.fleet().limitSharers();
+    int routers = router.fleet().members().all().size();
     return router.fleet().retryBudget().tryAcquire(ticket.service(), routers, router.now());
   }
 
@@ -360,8 +356,8 @@
   private void resubmit(String why) {
     trace.step("resubmitted", why, router.now());
     router.metrics().count("retries", "service", ticket.service().text());
-    ticket.recordResubmission(router.now());
-    apply(router.scheduler().submit(ticket));
+    ticket.recordResubmission(router.nextTicketNumber(), router.now());
+    router.scheduling().submit(ticket, this);
   }
 
   /** Ends a request that is sent to no further upstream. */
@@ -411,17 +407,15 @@
     if (exchange != null) {
       exchange.abandon();
     }
-    endGrant();
+    endGrant(Outcome.ABANDONED);
     if (ticket != null) {
-      router.scheduler().cancel(ticket);
+      router.scheduling().cancel(ticket);
     }
   }
 
-  private void endGrant() {
+  private void endGrant(Outcome outcome) {
     if (grant != null) {
-      router.scheduler().recordEnd(grant, outputSeen);
-      router.scheduleLoadReport();
-      router.schedulePoll();
+      router.scheduling().recordEnd(ticket, outcome);
     }
     exchange = null;
     grant = null;
@@ -458,9 +452,6 @@
     if (timer != null) {
       timer.cancel(false);
     }
-    if (ticket != null) {
-      router.removeWaiting(ticket.number());
-    }
     relay.discard();
     if (upstreamError != null) {
       upstreamError.release();
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
@@ -22,7 +22,7 @@
     add("routed", "route=" + route.name() + " team=" + team, configVersion, nowNanos);
   }
 
-  void granted(Decision.Granted grant, int inFlight, long nowNanos) {
+  void granted(Decision.Granted grant, long nowNanos) {
     String detail = "upstream=" + grant.instance().id() + " address=" + grant.instance().endpoint();
     String load =
         " parts="
@@ -32,9 +32,7 @@
             + " ahead_tokens="
             + grant.aheadTokens()
             + " unread_tokens="
-            + grant.addedLoad().prefillTokens()
-            + " in_flight="
-            + inFlight;
+            + grant.addedLoad().prefillTokens();
     add("granted", detail + load, grant.instance().incarnation(), nowNanos);
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -4,20 +4,14 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import org.dandelionbeam.routing.CallerLimits;
-import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.DrainWindow;
 import org.dandelionbeam.routing.FleetState;
 import org.dandelionbeam.routing.RoutingTable;
-import org.dandelionbeam.routing.Scheduler;
 
 /** State shared by the connections of a router. Confined to one event loop. */
 final class RouterContext {
@@ -29,38 +23,38 @@
    */
   private static final long MAX_RESERVED_BODY_BYTES = 24L << 20;
 
+  /** Keeps the ticket numbers of a router apart from those before its restart. */
+  private static final int TICKET_NUMBER_BITS = 20;
+
   private final EventLoop loop;
   private final FleetState fleet;
-  private final Scheduler scheduler;
+  private final RequestScheduling scheduling;
   private final HttpDialect dialect;
   private final UpstreamConnectionPool pool;
   private final EventLog log;
   private final RouterMetrics metrics;
   private final SplittableRandom random = new SplittableRandom();
-  private final Map<Long, RequestTask> waiting = new HashMap<>();
   private final Set<CallerConnection> connections = new HashSet<>();
   private long reservedBodyBytes;
   private long lastTicketNumber;
-  private final PollThrottle pollThrottle = new PollThrottle(System.nanoTime());
-  private boolean pollPending;
-  private boolean reportPending;
-  private Runnable loadReporter = () -> {};
   private Optional<DrainWindow> drainWindow = Optional.empty();
 
   RouterContext(
       EventLoop loop,
       FleetState fleet,
+      RequestScheduling scheduling,
       HttpDialect dialect,
       UpstreamConnectionPool pool,
       EventLog log,
       RouterMetrics metrics) {
     this.loop = requireNonNull(loop, "loop");
     this.fleet = requireNonNull(fleet, "fleet");
+    this.scheduling = requireNonNull(scheduling, "scheduling");
     this.dialect = requireNonNull(dialect, "dialect");
     this.pool = requireNonNull(pool, "pool");
     this.log = requireNonNull(log, "log");
     this.metrics = requireNonNull(metrics, "metrics");
-    scheduler = Scheduler.of(fleet, fleet.members().self().domain());
+    lastTicketNumber = fleet.members().self().incarnation() << TICKET_NUMBER_BITS;
   }
 
   EventLoop loop() {
@@ -71,8 +65,8 @@
     return fleet;
   }
 
-  Scheduler scheduler() {
-    return scheduler;
+  RequestScheduling scheduling() {
+    return scheduling;
   }
 
   HttpDialect dialect() {
@@ -150,60 +144,4 @@
   boolean accepts(Duration expected) {
     return drainWindow.map(window -> window.accepts(expected, now())).orElse(true);
   }
-
-  /** Sets the action that reports load changes to the peers. */
-  void onLoadChange(Runnable newReporter) {
-    loadReporter = newReporter;
-  }
-
-  /** Schedules a report of load changes after the current events are handled. */
-  void scheduleLoadReport() {
-    if (!reportPending) {
-      reportPending = true;
-      loop.execute(
-          () -> {
-            reportPending = false;
-            loadReporter.run();
-          });
-    }
-  }
-
-  /** Adds a request that waits for a decision of the scheduler. */
-  void addWaiting(long ticket, RequestTask task) {
-    waiting.put(ticket, task);
-  }
-
-  void removeWaiting(long ticket) {
-    waiting.remove(ticket);
-  }
-
-  /** Schedules new decisions on the waiting requests after the current events are handled. */
-  void schedulePoll() {
-    if (!pollPending && !waiting.isEmpty()) {
-      pollPending = true;
-      long wait = pollThrottle.waitNanos(now());
-      if (wait == 0) {
-        loop.execute(this::poll);
-      } else {
-        loop.schedule(this::poll, wait, TimeUnit.NANOSECONDS);
-      }
-    }
-  }
-
-  /** Lets the scheduler decide again on the waiting requests. */
-  void poll() {
-    pollPending = false;
-    if (waiting.isEmpty() || pollThrottle.waitNanos(now()) > 0) {
-      return;
-    }
-    long start = advanceTime();
-    List<Decision> decisions = scheduler.poll();
-    pollThrottle.recordPoll(start, now());
-    for (Decision decision : decisions) {
-      RequestTask task = waiting.remove(decision.ticket().number());
-      if (task != null) {
-        task.apply(decision);
-      }
-    }
-  }
 }
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
@@ -0,0 +1,139 @@
+package org.dandelionbeam.routing.wiring;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.dandelionbeam.base.FailureDomain;
+import org.dandelionbeam.routing.Endpoint;
+import org.dandelionbeam.routing.FleetCounters;
+import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.RetryCounts;
+import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.StoreVersions;
+import org.dandelionbeam.summary.SummaryMessage;
+import org.dandelionbeam.summary.SummaryMessage.FleetReport;
+import org.dandelionbeam.summary.SummaryMessage.RelayReport;
+import org.dandelionbeam.summary.SummaryMessage.RouterReport;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes the reports by which routers learn the state of the fleet. */
+final class SummaryCodec {
+  private static final int ROUTER_REPORT = 0;
+  private static final int RELAY_REPORT = 1;
+  private static final int FLEET_REPORT = 2;
+
+  private SummaryCodec() {}
+
+  static void pack(MessagePacker packer, SummaryMessage message) throws IOException {
+    if (message instanceof RouterReport report) {
+      packer.packInt(ROUTER_REPORT);
+      packMember(packer, report.sender());
+      packer.packLong(report.sequence());
+      packer.packBoolean(report.serving());
+      packVersions(packer, report.versions());
+      packCounters(packer, report.counters());
+    } else if (message instanceof RelayReport report) {
+      packer.packInt(RELAY_REPORT);
+      packer.packString(report.relay().text());
+      PeerMessageCodec.packNumbers(packer, report.serving());
+      PeerMessageCodec.packNumbers(packer, report.leaving());
+      packVersions(packer, report.versions());
+      packCounters(packer, report.counters());
+    } else if (message instanceof FleetReport report) {
+      packer.packInt(FLEET_REPORT);
+      packer.packString(report.relay().text());
+      packer.packLong(report.sequence());
+      PeerMessageCodec.packNumbers(packer, report.unavailable());
+      packVersions(packer, report.versions());
+      packCounters(packer, report.counters());
+    }
+  }
+
+  static SummaryMessage unpack(MessageUnpacker unpacker) throws IOException {
+    int type = unpacker.unpackInt();
+    return switch (type) {
+      case ROUTER_REPORT ->
+          new RouterReport(
+              unpackMember(unpacker),
+              unpacker.unpackLong(),
+              unpacker.unpackBoolean(),
+              unpackVersions(unpacker),
+              unpackCounters(unpacker));
+      case RELAY_REPORT ->
+          new RelayReport(
+              RouterName.of(unpacker.unpackString()),
+              PeerMessageCodec.unpackNumbers(unpacker),
+              PeerMessageCodec.unpackNumbers(unpacker),
+              unpackVersions(unpacker),
+              unpackCounters(unpacker));
+      case FLEET_REPORT ->
+          new FleetReport(
+              RouterName.of(unpacker.unpackString()),
+              unpacker.unpackLong(),
+              PeerMessageCodec.unpackNumbers(unpacker),
+              unpackVersions(unpacker),
+              unpackCounters(unpacker));
+      default -> throw new IOException("unknown type of report: " + type);
+    };
+  }
+
+  private static void packMember(MessagePacker packer, Member member) throws IOException {
+    packer.packString(member.name().text());
+    packer.packString(member.callers().toString());
+    packer.packString(member.peers().toString());
+    packer.packString(member.domain().name());
+    packer.packLong(member.incarnation());
+    packer.packDouble(member.capacity());
+  }
+
+  private static Member unpackMember(MessageUnpacker unpacker) throws IOException {
+    return new Member(
+        RouterName.of(unpacker.unpackString()),
+        Endpoint.of(unpacker.unpackString()),
+        Endpoint.of(unpacker.unpackString()),
+        FailureDomain.of(unpacker.unpackString()),
+        unpacker.unpackLong(),
+        unpacker.unpackDouble());
+  }
+
+  private static void packVersions(MessagePacker packer, StoreVersions versions)
+      throws IOException {
+    packer.packLong(versions.configuration());
+    packer.packLong(versions.upstreams());
+  }
+
+  private static StoreVersions unpackVersions(MessageUnpacker unpacker) throws IOException {
+    return new StoreVersions(unpacker.unpackLong(), unpacker.unpackLong());
+  }
+
+  private static void packCounters(MessagePacker packer, FleetCounters counters)
+      throws IOException {
+    packer.packMapHeader(counters.usage().size());
+    for (Map.Entry<Integer, Double> entry : counters.usage().entrySet()) {
+      packer.packInt(entry.getKey());
+      packer.packFloat(entry.getValue().floatValue());
+    }
+    packer.packMapHeader(counters.retries().size());
+    for (Map.Entry<Integer, RetryCounts> entry : counters.retries().entrySet()) {
+      packer.packInt(entry.getKey());
+      packer.packLong(entry.getValue().requests());
+      packer.packLong(entry.getValue().retries());
+    }
+  }
+
+  private static FleetCounters unpackCounters(MessageUnpacker unpacker) throws IOException {
+    int teams = unpacker.unpackMapHeader();
+    Map<Integer, Double> usage = new HashMap<>();
+    for (int i = 0; i < teams; i++) {
+      usage.put(unpacker.unpackInt(), (double) unpacker.unpackFloat());
+    }
+    int services = unpacker.unpackMapHeader();
+    Map<Integer, RetryCounts> retries = new HashMap<>();
+    for (int i = 0; i < services; i++) {
+      retries.put(
+          unpacker.unpackInt(), new RetryCounts(unpacker.unpackLong(), unpacker.unpackLong()));
+    }
+    return new FleetCounters(usage, retries);
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/scheduling/ScheduleRequest.java
@@ -0,0 +1,73 @@
+package org.dandelionbeam.scheduling;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import org.dandelionbeam.routing.UpstreamLoad;
+
+/**
+ * Message of the router of a caller to a scheduler. Messages may be lost; each one may be repeated.
+ */
+public sealed interface ScheduleRequest {
+
+  /**
+   * Submits a request.
+   *
+   * @param id number of the submission, unique at its router
+   * @param submission the request
+   */
+  record Submit(long id, Submission submission) implements ScheduleRequest {}
+
+  /**
+   * Withdraws a submission that was not granted yet.
+   *
+   * @param id number of the submission
+   */
+  record Cancel(long id) implements ScheduleRequest {}
+
+  /**
+   * Reports the first output of a granted request.
+   *
+   * @param id number of the submission
+   * @param elapsedNanos time since the request was sent to the upstream
+   */
+  record FirstOutput(long id, long elapsedNanos) implements ScheduleRequest {}
+
+  /**
+   * Reports the end of a granted request at its upstream.
+   *
+   * @param id number of the submission
+   * @param outcome how it ended
+   */
+  record End(long id, Outcome outcome) implements ScheduleRequest {}
+
+  /**
+   * Lists the submissions of a router that wait at the receiver or occupy an upstream that it
+   * schedules. It makes up for lost messages and informs a new scheduler.
+   *
+   * @param waiting numbers of the submissions without a decision
+   * @param running submissions that were granted and have not ended
+   */
+  record Sync(List<Long> waiting, List<Running> running) implements ScheduleRequest {
+    /** Copies the lists. */
+    public Sync {
+      waiting = List.copyOf(waiting);
+      running = List.copyOf(running);
+    }
+  }
+
+  /**
+   * A granted submission that has not ended.
+   *
+   * @param id number of the submission
+   * @param upstream number of the upstream
+   * @param load load that it adds to the upstream
+   * @param outputSeen whether the upstream has begun to respond
+   */
+  record Running(long id, int upstream, UpstreamLoad load, boolean outputSeen) {
+    /** Checks the values. */
+    public Running {
+      requireNonNull(load, "load");
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/scheduling/SchedulerClient.java
@@ -0,0 +1,500 @@
+package org.dandelionbeam.scheduling;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.dandelionbeam.routing.Decision;
+import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.PrefixCacheModel;
+import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.Ticket;
+import org.dandelionbeam.routing.UpstreamInstance;
+
+/**
+ * Submits the requests of this router's callers to the schedulers of their upstreams.
+ *
+ * <p>A scheduler that doesn't answer is avoided for some time; its submissions go to the router
+ * that replaces it. Not thread-safe.
+ */
+public final class SchedulerClient {
+  /** A lost message is repeated well before the scheduler is given up. */
+  private static final Duration RESEND_DELAY = Duration.ofMillis(40);
+
+  /** A scheduler answers within a few milliseconds unless it is frozen, overloaded or cut off. */
+  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(150);
+
+  private static final Duration AVOIDANCE = Duration.ofMillis(1_500);
+
+  /** Interval in which submissions are confirmed; a scheduler answers each confirmation. */
+  private static final Duration SYNC_INTERVAL = Duration.ofMillis(200);
+
+  private static final Duration SYNC_ANSWER_TIMEOUT = Duration.ofMillis(450);
+
+  /** Waiting and running submissions in one message. */
+  private static final int MAX_SYNC_ENTRIES = 30;
+
+  private final FleetState fleet;
+  private final Map<Long, Pending> pending = new LinkedHashMap<>();
+  private final Map<RouterName, Link> links = new HashMap<>();
+  private SchedulerAssignment assignment;
+  private Set<RouterName> avoided = Set.of();
+
+  private SchedulerClient(FleetState fleet) {
+    this.fleet = requireNonNull(fleet, "fleet");
+    assignment = SchedulerAssignment.of(List.of(fleet.members().self()));
+  }
+
+  /**
+   * Creates a client without submissions.
+   *
+   * @param fleet state of the fleet
+   * @return the client
+   */
+  public static SchedulerClient of(FleetState fleet) {
+    return new SchedulerClient(fleet);
+  }
+
+  /** What has to be done after an event. */
+  public sealed interface Action {
+
+    /**
+     * Sends a message to a scheduler, which may be this router.
+     *
+     * @param to the scheduler
+     * @param request the message
+     */
+    record Send(Member to, ScheduleRequest request) implements Action {}
+
+    /**
+     * Carries out a decision on a request.
+     *
+     * @param decision the decision
+     */
+    record Decide(Decision decision) implements Action {}
+  }
+
+  /**
+   * Takes over the available routers, from which schedulers are chosen.
+   *
+   * @return the new assignment if it has changed
+   */
+  public Optional<SchedulerAssignment> refreshAssignment() {
+    long now = fleet.nowNanos();
+    links.values().removeIf(link -> link.isUnused(now));
+    Set<RouterName> avoidedNow = new HashSet<>();
+    links.forEach(
+        (name, link) -> {
+          if (link.isAvoided(now)) {
+            avoidedNow.add(name);
+          }
+        });
+    List<Member> available =
+        fleet.members().available(now).stream()
+            .filter(member -> !avoidedNow.contains(member.name()))
+            .sorted(Comparator.comparing(Member::name))
+            .toList();
+    avoided = avoidedNow;
+    if (available.equals(assignment.members())) {
+      return Optional.empty();
+    }
+    assignment = SchedulerAssignment.of(available);
+    return Optional.of(assignment);
+  }
+
+  /**
+   * Submits a request.
+   *
+   * @param ticket the request
+   * @return what has to be done
+   */
+  public List<Action> submit(Ticket ticket) {
+    Pending submission = new Pending(ticket);
+    pending.put(ticket.number(), submission);
+    List<Action> actions = new ArrayList<>();
+    send(submission, actions);
+    return actions;
+  }
+
+  private void send(Pending submission, List<Action> actions) {
+    Ticket ticket = submission.ticket;
+    List<UpstreamInstance> usable = fleet.upstreams().usable(ticket.service());
+    List<UpstreamInstance> allowed =
+        usable.stream().filter(upstream -> !ticket.isExcluded(upstream.number())).toList();
+    if (allowed.isEmpty()) {
+      pending.remove(ticket.number());
+      actions.add(new Action.Decide(noUpstream(ticket)));
+      return;
+    }
+    List<UpstreamInstance> healthy =
+        allowed.stream()
+            .filter(upstream -> !fleet.health().isAvoided(upstream.id(), fleet.nowNanos()))
+            .toList();
+    List<UpstreamInstance> candidates = healthy.isEmpty() ? allowed : healthy;
+    Set<Integer> excluded = new HashSet<>();
+    usable.forEach(upstream -> excluded.add(upstream.number()));
+    candidates.forEach(upstream -> excluded.remove(upstream.number()));
+    long hash =
+        ticket.prompt().parts().isEmpty() ? ticket.number() : ticket.prompt().affinityHash();
+    UpstreamInstance preferred = PrefixCacheModel.preferred(hash, candidates);
+    Member scheduler = assignment.schedulerOf(preferred, usable.size());
+    if (submission.scheduler != null && !submission.scheduler.equals(scheduler)) {
+      actions.add(
+          new Action.Send(submission.scheduler, new ScheduleRequest.Cancel(ticket.number())));
+    }
+    submission.scheduler = scheduler;
+    submission.sentNanos = fleet.nowNanos();
+    submission.state = State.SUBMITTED;
+    Submission message =
+        Submission.of(
+            ticket,
+            fleet.members().self().domain(),
+            preferred.number(),
+            excluded,
+            fleet.nowNanos());
+    expectAnswer(submission.scheduler);
+    actions.add(
+        new Action.Send(
+            submission.scheduler, new ScheduleRequest.Submit(ticket.number(), message)));
+  }
+
+  private static Decision.Refused noUpstream(Ticket ticket) {
+    return new Decision.Refused(
+        ticket, Decision.RefusalReason.NO_UPSTREAM, Decision.MIN_RETRY_AFTER);
+  }
+
+  private void expectAnswer(Member scheduler) {
+    if (!isSelf(scheduler)) {
+      links.computeIfAbsent(scheduler.name(), key -> new Link()).expectAnswer(fleet.nowNanos());
+    }
+  }
+
+  private boolean isSelf(Member member) {
+    return member.name().equals(fleet.members().self().name());
+  }
+
+  /**
+   * Withdraws a request that its caller has given up or that has timed out.
+   *
+   * @param ticket the request
+   * @return what has to be done
+   */
+  public List<Action> cancel(Ticket ticket) {
+    Pending submission = pending.remove(ticket.number());
+    if (submission == null) {
+      return List.of();
+    }
+    ScheduleRequest request =
+        submission.state == State.GRANTED
+            ? new ScheduleRequest.End(ticket.number(), Outcome.ABANDONED)
+            : new ScheduleRequest.Cancel(ticket.number());
+    return List.of(new Action.Send(submission.scheduler, request));
+  }
+
+  /**
+   * Reports the first output of a granted request.
+   *
+   * @param ticket the request
+   * @param elapsed time since it was sent to its upstream
+   * @return what has to be done
+   */
+  public List<Action> recordFirstOutput(Ticket ticket, Duration elapsed) {
+    Pending submission = pending.get(ticket.number());
+    if (submission == null) {
+      return List.of();
+    }
+    submission.outputSeen = true;
+    return List.of(
+        new Action.Send(
+            submission.scheduler,
+            new ScheduleRequest.FirstOutput(ticket.number(), elapsed.toNanos())));
+  }
+
+  /**
+   * Reports the end of a granted request.
+   *
+   * @param ticket the request
+   * @param outcome how it ended
+   * @return what has to be done
+   */
+  public List<Action> recordEnd(Ticket ticket, Outcome outcome) {
+    Pending submission = pending.remove(ticket.number());
+    return submission == null
+        ? List.of()
+        : List.of(
+            new Action.Send(
+                submission.scheduler, new ScheduleRequest.End(ticket.number(), outcome)));
+  }
+
+  /**
+   * Records that a scheduler has sent a message.
+   *
+   * @param from the scheduler
+   */
+  public void recordAnswer(RouterName from) {
+    Link link = links.get(from);
+    if (link != null) {
+      link.recordAnswer(fleet.nowNanos());
+    }
+  }
+
+  /**
+   * Handles a reply of a scheduler.
+   *
+   * @param from the scheduler
+   * @param reply the reply
+   * @return what has to be done
+   */
+  public List<Action> receive(Member from, ScheduleReply reply) {
+    Pending submission = pending.get(reply.id());
+    if (submission == null || !submission.scheduler.name().equals(from.name())) {
+      return returnUnexpectedGrant(from, reply, submission);
+    }
+    List<Action> actions = new ArrayList<>();
+    if (reply instanceof ScheduleReply.Granted granted) {
+      receiveGrant(submission, granted, actions);
+    } else if (submission.state == State.GRANTED) {
+      return actions;
+    } else if (reply instanceof ScheduleReply.Queued) {
+      if (submission.state == State.SUBMITTED) {
+        submission.state = State.WAITING;
+        actions.add(new Action.Decide(new Decision.Waiting(submission.ticket)));
+      }
+    } else if (reply instanceof ScheduleReply.Refused refused) {
+      pending.remove(reply.id());
+      actions.add(
+          new Action.Decide(
+              new Decision.Refused(submission.ticket, refused.reason(), refused.retryAfter())));
+    } else {
+      send(submission, actions);
+    }
+    return actions;
+  }
+
+  /** Gives back a grant that is no longer needed, as the request ended or was sent elsewhere. */
+  private List<Action> returnUnexpectedGrant(Member from, ScheduleReply reply, Pending submission) {
+    boolean isGrant = reply instanceof ScheduleReply.Granted;
+    boolean heldElsewhere = submission != null && submission.state == State.GRANTED;
+    if (!isGrant || (heldElsewhere && submission.scheduler.name().equals(from.name()))) {
+      return List.of();
+    }
+    return List.of(new Action.Send(from, new ScheduleRequest.End(reply.id(), Outcome.ABANDONED)));
+  }
+
+  private void receiveGrant(
+      Pending submission, ScheduleReply.Granted granted, List<Action> actions) {
+    if (submission.state == State.GRANTED) {
+      return;
+    }
+    Optional<UpstreamInstance> upstream =
+        fleet.upstreams().find(granted.upstream()).filter(fleet.upstreams()::isUsable);
+    if (upstream.isEmpty()) {
+      // This router has read newer entries of the upstreams than the scheduler, or older ones.
+      actions.add(
+          new Action.Send(
+              submission.scheduler, new ScheduleRequest.End(granted.id(), Outcome.ABANDONED)));
+      submission.ticket.exclude(granted.upstream());
+      send(submission, actions);
+      return;
+    }
+    submission.state = State.GRANTED;
+    submission.grant =
+        Optional.of(
+            new Decision.Granted(
+                submission.ticket, upstream.get(), granted.load(), granted.aheadTokens()));
+    actions.add(new Action.Decide(submission.grant.get()));
+  }
+
+  /**
+   * Repeats messages that may be lost, gives up schedulers that don't answer, and confirms the
+   * submissions; to be called every few hundredths of a second.
+   *
+   * @return what has to be done
+   */
+  public List<Action> tick() {
+    long now = fleet.nowNanos();
+    List<Action> actions = new ArrayList<>();
+    boolean anySilent = false;
+    for (Link link : links.values()) {
+      anySilent |= link.avoidIfSilent(now);
+    }
+    if (anySilent) {
+      refreshAssignment();
+    }
+    for (Pending submission : List.copyOf(pending.values())) {
+      if (submission.state == State.GRANTED) {
+        continue;
+      }
+      boolean lost = avoided.contains(submission.scheduler.name());
+      boolean unanswered =
+          submission.state == State.SUBMITTED
+              && now - submission.sentNanos >= RESEND_DELAY.toNanos();
+      if (lost || unanswered) {
+        send(submission, actions);
+      }
+    }
+    synchronize(now, actions);
+    return actions;
+  }
+
+  /** Confirms the submissions at their schedulers, which are looked up anew for granted ones. */
+  private void synchronize(long now, List<Action> actions) {
+    Map<Member, List<Long>> waiting = new HashMap<>();
+    Map<Member, List<ScheduleRequest.Running>> running = new HashMap<>();
+    for (Pending submission : pending.values()) {
+      if (submission.state == State.WAITING) {
+        waiting
+            .computeIfAbsent(submission.scheduler, key -> new ArrayList<>())
+            .add(submission.ticket.number());
+      } else if (submission.state == State.GRANTED) {
+        submission.scheduler = currentScheduler(submission);
+        running
+            .computeIfAbsent(submission.scheduler, key -> new ArrayList<>())
+            .add(submission.running());
+      }
+    }
+    Set<Member> schedulers = new HashSet<>(waiting.keySet());
+    schedulers.addAll(running.keySet());
+    for (Member scheduler : schedulers) {
+      Link link = links.computeIfAbsent(scheduler.name(), key -> new Link());
+      if (link.isSyncDue(now)) {
+        link.recordSync(now, !isSelf(scheduler));
+        confirm(
+            scheduler,
+            waiting.getOrDefault(scheduler, List.of()),
+            running.getOrDefault(scheduler, List.of()),
+            actions);
+      }
+    }
+  }
+
+  /** Confirms submissions in messages of bounded length. */
+  private static void confirm(
+      Member scheduler,
+      List<Long> waiting,
+      List<ScheduleRequest.Running> running,
+      List<Action> actions) {
+    int longest = Math.max(waiting.size(), running.size());
+    for (int from = 0; from < longest; from += MAX_SYNC_ENTRIES) {
+      actions.add(
+          new Action.Send(
+              scheduler, new ScheduleRequest.Sync(part(waiting, from), part(running, from))));
+    }
+  }
+
+  private static <T> List<T> part(List<T> entries, int from) {
+    int start = Math.min(entries.size(), from);
+    return entries.subList(start, Math.min(entries.size(), from + MAX_SYNC_ENTRIES));
+  }
+
+  private Member currentScheduler(Pending submission) {
+    UpstreamInstance upstream = submission.grant.orElseThrow().instance();
+    int count = fleet.upstreams().usable(upstream.service()).size();
+    return assignment.schedulerOf(upstream, count);
+  }
+
+  /**
+   * Tells whether there are submissions, so that {@link #tick} has to be called.
+   *
+   * @return false if no request waits or runs
+   */
+  public boolean hasSubmissions() {
+    return !pending.isEmpty();
+  }
+
+  /** State of a submission. */
+  private enum State {
+    SUBMITTED,
+    WAITING,
+    GRANTED
+  }
+
+  /** A request that was submitted and has not ended. */
+  private static final class Pending {
+    private final Ticket ticket;
+    private State state = State.SUBMITTED;
+    private Member scheduler;
+    private long sentNanos;
+    private Optional<Decision.Granted> grant = Optional.empty();
+    private boolean outputSeen;
+
+    Pending(Ticket ticket) {
+      this.ticket = ticket;
+    }
+
+    ScheduleRequest.Running running() {
+      Decision.Granted granted = grant.orElseThrow();
+      return new ScheduleRequest.Running(
+          ticket.number(), granted.instance().number(), granted.addedLoad(), outputSeen);
+    }
+  }
+
+  /** What is known of a scheduler. */
+  private static final class Link {
+    private boolean answerExpected;
+    private long expectedSinceNanos;
+    private Duration answerTimeout = ANSWER_TIMEOUT;
+    private boolean avoided;
+    private long avoidedUntilNanos;
+    private boolean synced;
+    private long syncedNanos;
+    private long usedNanos;
+
+    void expectAnswer(long nowNanos) {
+      usedNanos = nowNanos;
+      if (!answerExpected || answerTimeout.equals(SYNC_ANSWER_TIMEOUT)) {
+        answerExpected = true;
+        expectedSinceNanos = nowNanos;
+        answerTimeout = ANSWER_TIMEOUT;
+      }
+    }
+
+    void recordSync(long nowNanos, boolean hasAnswer) {
+      synced = true;
+      syncedNanos = nowNanos;
+      usedNanos = nowNanos;
+      if (hasAnswer && !answerExpected) {
+        answerExpected = true;
+        expectedSinceNanos = nowNanos;
+        answerTimeout = SYNC_ANSWER_TIMEOUT;
+      }
+    }
+
+    boolean isSyncDue(long nowNanos) {
+      return !synced || nowNanos - syncedNanos >= SYNC_INTERVAL.toNanos();
+    }
+
+    void recordAnswer(long nowNanos) {
+      answerExpected = false;
+      usedNanos = nowNanos;
+    }
+
+    /** Avoids the scheduler if an answer is overdue; returns whether it is. */
+    boolean avoidIfSilent(long nowNanos) {
+      if (!answerExpected || nowNanos - expectedSinceNanos < answerTimeout.toNanos()) {
+        return false;
+      }
+      answerExpected = false;
+      avoided = true;
+      avoidedUntilNanos = nowNanos + AVOIDANCE.toNanos();
+      return true;
+    }
+
+    boolean isAvoided(long nowNanos) {
+      return avoided && nowNanos - avoidedUntilNanos < 0;
+    }
+
+    boolean isUnused(long nowNanos) {
+      return nowNanos - usedNanos > 2 * AVOIDANCE.toNanos();
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/scheduling/Submission.java
@@ -0,0 +1,81 @@
+package org.dandelionbeam.scheduling;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Set;
+import org.dandelionbeam.base.FailureDomain;
+import org.dandelionbeam.routing.PromptProfile;
+import org.dandelionbeam.routing.ServiceName;
+import org.dandelionbeam.routing.TeamName;
+import org.dandelionbeam.routing.Ticket;
+
+/**
+ * A request as it is submitted to a scheduler. Times are relative, since routers have different
+ * clocks.
+ *
+ * @param service service that the request goes to
+ * @param team team that the request belongs to
+ * @param prompt profile of the prompt
+ * @param domain failure domain of the router of the caller
+ * @param upstream number of the upstream that the router of the caller prefers
+ * @param excluded numbers of the upstreams that must not get the request
+ * @param ageNanos time since its arrival
+ * @param waitedNanos time since it waits for an upstream
+ * @param objectiveNanos time from its arrival within which the latency objective wants a response
+ * @param deadlineNanos time from its arrival for which the caller waits
+ * @param firstOutputTimeoutNanos time from its arrival for which the caller waits for output
+ */
+public record Submission(
+    ServiceName service,
+    TeamName team,
+    PromptProfile prompt,
+    FailureDomain domain,
+    int upstream,
+    Set<Integer> excluded,
+    long ageNanos,
+    long waitedNanos,
+    long objectiveNanos,
+    long deadlineNanos,
+    long firstOutputTimeoutNanos) {
+
+  /** Copies the set. */
+  public Submission {
+    requireNonNull(service, "service");
+    requireNonNull(team, "team");
+    requireNonNull(prompt, "prompt");
+    requireNonNull(domain, "domain");
+    excluded = Set.copyOf(excluded);
+  }
+
+  /** Returns the submission of a ticket. */
+  static Submission of(
+      Ticket ticket, FailureDomain domain, int upstream, Set<Integer> excluded, long nowNanos) {
+    return new Submission(
+        ticket.service(),
+        ticket.team(),
+        ticket.prompt(),
+        domain,
+        upstream,
+        excluded,
+        nowNanos - ticket.arrivedNanos(),
+        nowNanos - ticket.submittedNanos(),
+        ticket.objectiveNanos() - ticket.arrivedNanos(),
+        ticket.deadlineNanos() - ticket.arrivedNanos(),
+        ticket.firstOutputTimeoutNanos());
+  }
+
+  /** Returns the ticket of this submission at its scheduler. */
+  Ticket toTicket(long number, long nowNanos) {
+    long arrived = nowNanos - ageNanos;
+    Ticket ticket =
+        Ticket.builder(number)
+            .request(service, team, prompt)
+            .from(domain)
+            .times(arrived, arrived + objectiveNanos, arrived + deadlineNanos)
+            .submitted(nowNanos - waitedNanos)
+            .firstOutputTimeout(firstOutputTimeoutNanos)
+            .build();
+    excluded.forEach(ticket::exclude);
+    return ticket;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/summary/RelaySelector.java
@@ -0,0 +1,41 @@
+package org.dandelionbeam.summary;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.dandelionbeam.base.FailureDomain;
+import org.dandelionbeam.membership.Rendezvous;
+import org.dandelionbeam.routing.FleetMembers.Member;
+
+/** Selects the relays of each failure domain by rendezvous hashing. */
+final class RelaySelector {
+  private static final String KEY_PREFIX = "relay/";
+
+  private RelaySelector() {}
+
+  /** Returns the members of a failure domain, the preferred relay first. */
+  static List<Member> ranked(FailureDomain domain, Collection<Member> members) {
+    long key = Rendezvous.key(KEY_PREFIX + domain.name());
+    Comparator<Member> byScore =
+        Comparator.comparingDouble(
+            member ->
+                Rendezvous.score(key, Rendezvous.key(member.name().text()), member.capacity()));
+    return members.stream()
+        .filter(member -> member.domain().equals(domain))
+        .sorted(byScore.reversed().thenComparing(Member::name))
+        .toList();
+  }
+
+  /** Returns the first members of each failure domain in the order of preference. */
+  static List<Member> firstOfEachDomain(Collection<Member> members, int count) {
+    Map<FailureDomain, List<Member>> byDomain =
+        members.stream()
+            .collect(Collectors.groupingBy(Member::domain, TreeMap::new, Collectors.toList()));
+    return byDomain.entrySet().stream()
+        .flatMap(entry -> ranked(entry.getKey(), entry.getValue()).stream().limit(count))
+        .toList();
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
@@ -0,0 +1,315 @@
+package org.dandelionbeam.summary;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.dandelionbeam.base.FailureDomain;
+import org.dandelionbeam.routing.FleetCounters;
+import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.StoreVersions;
+import org.dandelionbeam.routing.TeamUsage;
+import org.dandelionbeam.summary.SummaryMessage.FleetReport;
+import org.dandelionbeam.summary.SummaryMessage.RelayReport;
+import org.dandelionbeam.summary.SummaryMessage.RouterReport;
+
+/**
+ * Reports the state of this router and learns that of the whole fleet.
+ *
+ * <p>Each router reports to the relay of its failure domain, which is selected by rendezvous
+ * hashing. A relay sends the sum of these reports to the relays of all domains, and the sum over
+ * all relays back to its routers. Any router that receives reports acts as a relay, so a relay that
+ * fails is replaced as soon as its routers select the next one. Not thread-safe.
+ */
+public final class SummaryExchange {
+  /** A report that is older than this no longer counts in the sums. */
+  private static final Duration REPORT_MAX_AGE = Duration.ofMillis(700);
+
+  /** A relay answers each report; one that is silent for this time is replaced. */
+  private static final Duration RELAY_TIMEOUT = Duration.ofMillis(450);
+
+  /** Time after which a relay that was silent is tried again. */
+  private static final Duration RELAY_RETRY_DELAY = Duration.ofSeconds(4);
+
+  /** Interval in which a relay without routers looks for the relay that they use. */
+  private static final Duration SEARCH_INTERVAL = Duration.ofSeconds(1);
+
+  /** Relays of each domain that get the sums, so that the second one can take over. */
+  private static final int RELAYS_PER_DOMAIN = 2;
+
+  /** Reports of this router that a fleet report may refer to; more than two seconds. */
+  private static final int MAX_SENT_REPORTS = 24;
+
+  private final FleetState fleet;
+  private final BooleanSupplier serving;
+  private final Map<RouterName, Received<RouterReport>> routerReports = new HashMap<>();
+  private final Map<RouterName, Received<RelayReport>> relayReports = new HashMap<>();
+  private final Map<RouterName, Long> avoidedUntilNanos = new HashMap<>();
+  private final Map<Long, Received<FleetCounters>> sent =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Received<FleetCounters>> eldest) {
+          return size() > MAX_SENT_REPORTS;
+        }
+      };
+
+  private long sequence;
+  private RouterName currentRelay;
+  private long relayHeardNanos;
+  private long searchedNanos;
+  private int searches;
+
+  private SummaryExchange(FleetState fleet, BooleanSupplier serving) {
+    this.fleet = requireNonNull(fleet, "fleet");
+    this.serving = requireNonNull(serving, "serving");
+    currentRelay = fleet.members().self().name();
+  }
+
+  /**
+   * Creates an exchange that has received nothing.
+   *
+   * @param fleet state of the fleet, which is updated
+   * @param serving tells whether this router accepts requests
+   * @return the exchange
+   */
+  public static SummaryExchange of(FleetState fleet, BooleanSupplier serving) {
+    return new SummaryExchange(fleet, serving);
+  }
+
+  /**
+   * A message to be sent.
+   *
+   * @param to router that it is sent to
+   * @param message the message
+   */
+  public record Outgoing(Member to, SummaryMessage message) {}
+
+  /**
+   * Reports the state of this router; to be called several times a second.
+   *
+   * @return messages to be sent
+   */
+  public List<Outgoing> tick() {
+    long now = fleet.nowNanos();
+    routerReports.values().removeIf(report -> report.isOlderThan(REPORT_MAX_AGE, now));
+    relayReports.values().removeIf(report -> report.isOlderThan(REPORT_MAX_AGE, now));
+    fleet.members().removeUnregistered(now);
+    RouterReport own = ownReport(now);
+    List<Outgoing> messages = new ArrayList<>();
+    Member relay = selectRelay(now);
+    boolean isRelay = relay.equals(self());
+    if (isRelay) {
+      routerReports.put(self().name(), new Received<>(own, now));
+    } else {
+      routerReports.remove(self().name());
+      messages.add(new Outgoing(relay, own));
+    }
+    if (!routerReports.isEmpty()) {
+      relayReports(now, messages);
+    }
+    if (isRelay && routerReports.size() == 1) {
+      searchOtherRelay(own, now, messages);
+    }
+    return messages;
+  }
+
+  private Member self() {
+    return fleet.members().self();
+  }
+
+  private RouterReport ownReport(long now) {
+    sequence++;
+    FleetCounters counters =
+        new FleetCounters(fleet.usage().localUsage(now), fleet.retryBudget().localCounts(now));
+    sent.put(sequence, new Received<>(counters, now));
+    return new RouterReport(
+        self(), sequence, serving.getAsBoolean(), fleet.storeVersions(), counters);
+  }
+
+  /** Returns the preferred relay of this router's domain that is not silent. */
+  private Member selectRelay(long now) {
+    boolean silent =
+        !currentRelay.equals(self().name()) && now - relayHeardNanos > RELAY_TIMEOUT.toNanos();
+    if (silent) {
+      avoidedUntilNanos.put(currentRelay, now + RELAY_RETRY_DELAY.toNanos());
+    }
+    avoidedUntilNanos.values().removeIf(until -> now - until >= 0);
+    Member selected =
+        RelaySelector.ranked(self().domain(), candidates(self().domain(), now)).stream()
+            .filter(member -> !avoidedUntilNanos.containsKey(member.name()))
+            .findFirst()
+            .orElse(self());
+    if (!selected.name().equals(currentRelay)) {
+      currentRelay = selected.name();
+      relayHeardNanos = now;
+    }
+    return selected;
+  }
+
+  /**
+   * Returns the members of a domain that are not known to be unavailable or, if there are none
+   * besides this router, all that are registered.
+   */
+  private Collection<Member> candidates(FailureDomain domain, long now) {
+    Set<Integer> unavailable = fleet.members().unavailable(now);
+    List<Member> registered =
+        fleet.members().all().stream().filter(member -> member.domain().equals(domain)).toList();
+    List<Member> candidates =
+        registered.stream()
+            .filter(member -> !unavailable.contains(member.name().number()))
+            .toList();
+    boolean anyOther = candidates.stream().anyMatch(member -> !member.equals(self()));
+    return anyOther ? candidates : registered;
+  }
+
+  private void relayReports(long now, List<Outgoing> messages) {
+    RelayReport sum = relayReport(now);
+    for (Member relay : otherRelays(now)) {
+      messages.add(new Outgoing(relay, sum));
+    }
+    FleetReport total = fleetReport(sum, now);
+    routerReports.forEach(
+        (name, report) -> {
+          if (name.equals(self().name())) {
+            apply(total.counters(), report.message.sequence(), now);
+          } else {
+            messages.add(new Outgoing(report.message.sender(), answerTo(report.message, total)));
+          }
+        });
+  }
+
+  private static FleetReport answerTo(RouterReport report, FleetReport total) {
+    return new FleetReport(
+        total.relay(), report.sequence(), total.unavailable(), total.versions(), total.counters());
+  }
+
+  private Set<Member> otherRelays(long now) {
+    Set<Member> relays = new HashSet<>();
+    fleet.members().all().stream()
+        .map(Member::domain)
+        .distinct()
+        .forEach(
+            domain ->
+                relays.addAll(
+                    RelaySelector.firstOfEachDomain(candidates(domain, now), RELAYS_PER_DOMAIN)));
+    relayReports.keySet().forEach(name -> fleet.members().find(name).ifPresent(relays::add));
+    relays.remove(self());
+    return relays;
+  }
+
+  private RelayReport relayReport(long now) {
+    FleetCounters.Sum sum = new FleetCounters.Sum();
+    Set<Integer> available = new HashSet<>();
+    Set<Integer> leaving = new HashSet<>();
+    StoreVersions versions = fleet.storeVersions();
+    for (Received<RouterReport> report : routerReports.values()) {
+      RouterReport message = report.message;
+      sum.add(message.counters().decayed(TeamUsage.decay(now - report.atNanos)));
+      versions = versions.newest(message.versions());
+      (message.serving() ? available : leaving).add(message.sender().name().number());
+    }
+    return new RelayReport(self().name(), available, leaving, versions, sum.total());
+  }
+
+  private FleetReport fleetReport(RelayReport own, long now) {
+    FleetCounters.Sum sum = new FleetCounters.Sum();
+    sum.add(own.counters());
+    StoreVersions versions = own.versions();
+    for (Received<RelayReport> report : relayReports.values()) {
+      sum.add(report.message.counters().decayed(TeamUsage.decay(now - report.atNanos)));
+      versions = versions.newest(report.message.versions());
+    }
+    return new FleetReport(
+        self().name(), 0, fleet.members().unavailable(now), versions, sum.total());
+  }
+
+  /**
+   * Reports to each other router of the domain in turn. A relay that returns after others have
+   * replaced it becomes known to the new one that way.
+   */
+  private void searchOtherRelay(RouterReport own, long now, List<Outgoing> messages) {
+    List<Member> ranked = RelaySelector.ranked(self().domain(), fleet.members().all());
+    if (ranked.size() < 2 || now - searchedNanos < SEARCH_INTERVAL.toNanos()) {
+      return;
+    }
+    searchedNanos = now;
+    searches++;
+    Member member = ranked.get(searches % ranked.size());
+    if (!member.equals(self())) {
+      messages.add(new Outgoing(member, own));
+    }
+  }
+
+  /**
+   * Handles a message of another router.
+   *
+   * @param message the message
+   */
+  public void receive(SummaryMessage message) {
+    long now = fleet.nowNanos();
+    if (message instanceof RouterReport report) {
+      receiveRouterReport(report, now);
+    } else if (message instanceof RelayReport report) {
+      receiveRelayReport(report, now);
+    } else if (message instanceof FleetReport report) {
+      receiveFleetReport(report, now);
+    }
+  }
+
+  private void receiveRouterReport(RouterReport report, long now) {
+    fleet.staleStateDetector().recordPeerVersions(report.versions());
+    fleet.members().recordReport(report.sender(), report.serving(), now);
+    routerReports.put(report.sender().name(), new Received<>(report, now));
+  }
+
+  private void receiveRelayReport(RelayReport report, long now) {
+    fleet.staleStateDetector().recordPeerVersions(report.versions());
+    report.serving().forEach(number -> fleet.members().recordPresent(number, true, now));
+    report.leaving().forEach(number -> fleet.members().recordPresent(number, false, now));
+    relayReports.put(report.relay(), new Received<>(report, now));
+  }
+
+  private void receiveFleetReport(FleetReport report, long now) {
+    fleet.staleStateDetector().recordPeerVersions(report.versions());
+    if (report.relay().equals(currentRelay)) {
+      relayHeardNanos = now;
+    }
+    boolean isRelayOfOthers =
+        routerReports.keySet().stream().anyMatch(n -> !n.equals(self().name()));
+    if (!isRelayOfOthers) {
+      fleet.members().recordFleetReport(report.unavailable(), now);
+      apply(report.counters(), report.sequence(), now);
+    }
+  }
+
+  /** Takes over the sums without this router's own part, which it knows more precisely. */
+  private void apply(FleetCounters total, long ownSequence, long now) {
+    Received<FleetCounters> own = sent.get(ownSequence);
+    if (own == null) {
+      return;
+    }
+    FleetCounters part = own.message.decayed(TeamUsage.decay(now - own.atNanos));
+    FleetCounters others = total.minus(part);
+    fleet.usage().recordOthers(others.usage(), now);
+    fleet.retryBudget().recordOthers(others.retries(), now);
+  }
+
+  /** A message and the time of its receipt. */
+  private record Received<T>(T message, long atNanos) {
+    boolean isOlderThan(Duration age, long nowNanos) {
+      return nowNanos - atNanos > age.toNanos();
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryMessage.java
@@ -0,0 +1,73 @@
+package org.dandelionbeam.summary;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Set;
+import org.dandelionbeam.routing.FleetCounters;
+import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.StoreVersions;
+
+/** Message between routers by which they learn the state of the fleet. */
+public sealed interface SummaryMessage {
+
+  /**
+   * State of one router, sent to the relay of its failure domain.
+   *
+   * @param sender registration of the router
+   * @param sequence number that grows with each report of this start of the router
+   * @param serving whether it accepts requests
+   * @param versions versions of the data that it has read from the store
+   * @param counters its own part of the sums
+   */
+  record RouterReport(
+      Member sender, long sequence, boolean serving, StoreVersions versions, FleetCounters counters)
+      implements SummaryMessage {}
+
+  /**
+   * Sum over the routers that report to one relay, sent to other relays.
+   *
+   * @param relay name of the relay
+   * @param serving numbers of the routers that report to it and accept requests
+   * @param leaving numbers of the routers that report to it and accept no requests
+   * @param versions newest versions that any of these routers has read
+   * @param counters sum of the counters of these routers
+   */
+  record RelayReport(
+      RouterName relay,
+      Set<Integer> serving,
+      Set<Integer> leaving,
+      StoreVersions versions,
+      FleetCounters counters)
+      implements SummaryMessage {
+    /** Copies the sets. */
+    public RelayReport {
+      requireNonNull(relay, "relay");
+      serving = Set.copyOf(serving);
+      leaving = Set.copyOf(leaving);
+    }
+  }
+
+  /**
+   * State of the whole fleet, sent by a relay to the routers that report to it.
+   *
+   * @param relay name of the relay
+   * @param sequence number of the receiver's last report, which the sums contain
+   * @param unavailable numbers of the registered routers that are not available
+   * @param versions newest versions that any router has read
+   * @param counters sum of the counters of all routers
+   */
+  record FleetReport(
+      RouterName relay,
+      long sequence,
+      Set<Integer> unavailable,
+      StoreVersions versions,
+      FleetCounters counters)
+      implements SummaryMessage {
+    /** Copies the set. */
+    public FleetReport {
+      requireNonNull(relay, "relay");
+      unavailable = Set.copyOf(unavailable);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
@@ -0,0 +1,115 @@
+package org.dandelionbeam.routing.wiring;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dandelionbeam.base.FailureDomain;
+import org.dandelionbeam.routing.Decision;
+import org.dandelionbeam.routing.Endpoint;
+import org.dandelionbeam.routing.FleetCounters;
+import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.PromptProfile;
+import org.dandelionbeam.routing.RetryCounts;
+import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.ServiceName;
+import org.dandelionbeam.routing.StoreVersions;
+import org.dandelionbeam.routing.TeamName;
+import org.dandelionbeam.routing.UpstreamLoad;
+import org.dandelionbeam.scheduling.Outcome;
+import org.dandelionbeam.scheduling.ScheduleReply;
+import org.dandelionbeam.scheduling.ScheduleRequest;
+import org.dandelionbeam.scheduling.Submission;
+import org.dandelionbeam.summary.SummaryMessage;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Encoding and decoding of the messages between routers. */
+public class PeerMessageCodecTest {
+  private static final RouterName NAME = RouterName.of("router-1");
+  private static final StoreVersions VERSIONS = new StoreVersions(12, 34);
+  private static final FleetCounters COUNTERS =
+      new FleetCounters(Map.of(9, 1.5), Map.of(3, new RetryCounts(100, 7)));
+  private static final UpstreamLoad LOAD = new UpstreamLoad(1, 2_000, 3_000);
+
+  private static PeerMessage routerReport() {
+    Endpoint callers = new Endpoint("10.0.0.1", 80);
+    Endpoint peers = new Endpoint("10.0.0.1", 81);
+    Member member = new Member(NAME, callers, peers, FailureDomain.of("a"), 7, 0.75);
+    return new PeerMessage.Summary(
+        new SummaryMessage.RouterReport(member, 5, true, VERSIONS, COUNTERS));
+  }
+
+  private static Submission submission() {
+    return new Submission(
+        ServiceName.of("model"),
+        TeamName.of("red"),
+        new PromptProfile(
+            609, 20, List.of(new PromptProfile.Part(1, 600), new PromptProfile.Part(-2, 9))),
+        FailureDomain.of("a"),
+        -5,
+        Set.of(6, 7),
+        1,
+        2,
+        3,
+        4,
+        5);
+  }
+
+  @DataProvider
+  public Object[][] messages() {
+    List<ScheduleRequest> requests =
+        List.of(
+            new ScheduleRequest.Submit(1, submission()),
+            new ScheduleRequest.Cancel(2),
+            new ScheduleRequest.FirstOutput(3, 40),
+            new ScheduleRequest.End(4, Outcome.BROKEN),
+            new ScheduleRequest.Sync(
+                List.of(5L), List.of(new ScheduleRequest.Running(6, 7, LOAD, true))));
+    List<ScheduleReply> replies =
+        List.of(
+            new ScheduleReply.Granted(1, -5, LOAD, 70),
+            new ScheduleReply.Queued(2),
+            new ScheduleReply.Refused(3, Decision.RefusalReason.OVERLOADED, Duration.ofMillis(250)),
+            new ScheduleReply.Unknown(4));
+    return new Object[][] {
+      {routerReport()},
+      {
+        new PeerMessage.Summary(
+            new SummaryMessage.RelayReport(NAME, Set.of(1, -2), Set.of(3), VERSIONS, COUNTERS))
+      },
+      {
+        new PeerMessage.Summary(
+            new SummaryMessage.FleetReport(NAME, 8, Set.of(4), VERSIONS, COUNTERS))
+      },
+      {new PeerMessage.Requests(NAME, requests)},
+      {new PeerMessage.Replies(NAME, replies)},
+      {new PeerMessage.Replies(NAME, List.of())},
+    };
+  }
+
+  @Test(dataProvider = "messages")
+  public void messageSurvivesEncodingAndDecoding(PeerMessage message) throws IOException {
+    assertEquals(PeerMessageCodec.decode(PeerMessageCodec.encode(message)), message);
+  }
+
+  @DataProvider
+  public Object[][] invalidBytes() throws IOException {
+    byte[] bytes = PeerMessageCodec.encode(routerReport());
+    byte[] otherFormat = bytes.clone();
+    otherFormat[0]++;
+    return new Object[][] {
+      {new byte[0]}, {Arrays.copyOf(bytes, bytes.length / 2)}, {otherFormat}, {new byte[] {1, 2, 3}}
+    };
+  }
+
+  @Test(dataProvider = "invalidBytes")
+  public void invalidBytesAreRejected(byte[] bytes) {
+    assertThrows(IOException.class, () -> PeerMessageCodec.decode(bytes));
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
@@ -0,0 +1,234 @@
+package org.dandelionbeam.summary;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.dandelionbeam.base.FailureDomain;
+import org.dandelionbeam.routing.Endpoint;
+import org.dandelionbeam.routing.FleetLimits;
+import org.dandelionbeam.routing.FleetMembers;
+import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.TeamName;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Reports between routers while relays fail and routers come and go. */
+public class SummaryExchangeTest {
+  private static final long MS = 1_000_000L;
+  private static final int DOMAINS = 3;
+  private static final int TICK_MS = 100;
+  private static final TeamName TEAM = TeamName.of("red");
+  private static final FleetLimits LIMITS =
+      new FleetLimits(0.2, 54, Duration.ofSeconds(10), 1.5, 5);
+
+  /** Routers that exchange messages, each of which takes 2 ms. */
+  private static final class Fleet {
+    private final List<Router> routers = new ArrayList<>();
+    private final Map<RouterName, Router> byName = new HashMap<>();
+    private List<Runnable> sent = new ArrayList<>();
+    private long nowMs;
+
+    Fleet(int size) {
+      for (int i = 0; i < size; i++) {
+        Router router = new Router(this, i);
+        routers.add(router);
+        byName.put(router.member.name(), router);
+      }
+      List<Member> members = routers.stream().map(router -> router.member).toList();
+      routers.forEach(router -> router.state.members().listed(members, 0));
+    }
+
+    void run(int ms) {
+      for (int i = 0; i < ms; i++) {
+        step();
+      }
+    }
+
+    private void step() {
+      nowMs++;
+      routers.forEach(router -> router.state.advanceTo(nowMs * MS));
+      if (nowMs % 2 == 0) {
+        List<Runnable> arriving = sent;
+        sent = new ArrayList<>();
+        arriving.forEach(Runnable::run);
+      }
+      for (int i = 0; i < routers.size(); i++) {
+        Router router = routers.get(i);
+        if (!router.stopped && (nowMs + 7 * i) % TICK_MS == 0) {
+          router.tick();
+        }
+      }
+    }
+
+    void assertAllKnow(List<Router> available) {
+      for (Router router : routers) {
+        if (!router.stopped && router.serving) {
+          assertEquals(
+              router.state.members().available(nowMs * MS).stream()
+                  .map(Member::name)
+                  .sorted()
+                  .toList(),
+              available.stream().map(other -> other.member.name()).sorted().toList(),
+              "known to " + router.member.name());
+        }
+      }
+    }
+
+    List<Router> without(Router gone) {
+      return routers.stream().filter(router -> router != gone).toList();
+    }
+
+    Router relayOf(int domain) {
+      List<Member> members = routers.stream().map(router -> router.member).toList();
+      return byName.get(
+          RelaySelector.ranked(FailureDomain.of("domain-" + domain), members).get(0).name());
+    }
+  }
+
+  /** One router. */
+  private static final class Router {
+    private final Fleet fleet;
+    private final Member member;
+    private final FleetState state;
+    private final SummaryExchange exchange;
+    private boolean stopped;
+    private boolean serving = true;
+    private int messages;
+
+    Router(Fleet fleet, int index) {
+      this.fleet = fleet;
+      Endpoint endpoint = new Endpoint("10.0.0.1", 1 + index);
+      member =
+          new Member(
+              RouterName.of("router-" + index),
+              endpoint,
+              endpoint,
+              FailureDomain.of("domain-" + index % DOMAINS),
+              1,
+              1);
+      state = FleetState.of(LIMITS, FleetMembers.of(member));
+      exchange = SummaryExchange.of(state, () -> serving);
+    }
+
+    void tick() {
+      state.members().serving(serving);
+      for (SummaryExchange.Outgoing outgoing : exchange.tick()) {
+        messages++;
+        Router to = fleet.byName.get(outgoing.to().name());
+        fleet.sent.add(
+            () -> {
+              if (!to.stopped) {
+                to.messages++;
+                to.exchange.receive(outgoing.message());
+              }
+            });
+      }
+    }
+  }
+
+  @DataProvider
+  public Object[][] sizes() {
+    return new Object[][] {{1}, {2}, {7}, {30}, {95}};
+  }
+
+  @Test(dataProvider = "sizes")
+  public void allRoutersLearnOfEachOtherAndOfTheSums(int size) {
+    Fleet fleet = new Fleet(size);
+    fleet.run(600);
+    fleet.assertAllKnow(fleet.routers);
+
+    fleet.routers.forEach(router -> router.state.usage().recordUsage(TEAM, 100, fleet.nowMs * MS));
+    double total = 100.0 * size;
+    fleet.run(400);
+
+    double decay = Math.pow(0.5, 400.0 / 600);
+    for (Router router : fleet.routers) {
+      double usage = router.state.usage().usageOf(TEAM, fleet.nowMs * MS);
+      assertEquals(usage, total * decay, 0.03 * total, "usage at " + router.member.name());
+    }
+  }
+
+  @Test
+  public void relayThatStopsIsReplaced() {
+    Fleet fleet = new Fleet(30);
+    fleet.run(600);
+    Router relay = fleet.relayOf(0);
+    relay.stopped = true;
+    fleet.run(2_500);
+
+    fleet.assertAllKnow(fleet.without(relay));
+    relay.stopped = false;
+    fleet.run(3_500);
+    fleet.assertAllKnow(fleet.routers);
+  }
+
+  @Test
+  public void relaysOfADomainThatStopTogetherAreReplacedAndReturn() {
+    Fleet fleet = new Fleet(30);
+    fleet.run(600);
+    List<Member> members = fleet.routers.stream().map(router -> router.member).toList();
+    List<Router> relays =
+        RelaySelector.ranked(FailureDomain.of("domain-1"), members).stream()
+            .limit(4)
+            .map(member -> fleet.byName.get(member.name()))
+            .toList();
+    relays.forEach(relay -> relay.stopped = true);
+    fleet.run(4_000);
+    fleet.assertAllKnow(fleet.routers.stream().filter(router -> !relays.contains(router)).toList());
+
+    relays.forEach(relay -> relay.stopped = false);
+    fleet.run(4_000);
+    fleet.assertAllKnow(fleet.routers);
+  }
+
+  @Test
+  public void routersOfALostDomainAreNotAvailable() {
+    Fleet fleet = new Fleet(30);
+    fleet.run(600);
+    List<Router> others = new ArrayList<>();
+    for (Router router : fleet.routers) {
+      router.stopped = router.member.domain().name().equals("domain-2");
+      if (!router.stopped) {
+        others.add(router);
+      }
+    }
+    fleet.run(2_500);
+
+    fleet.assertAllKnow(others);
+  }
+
+  @Test
+  public void leavingRouterIsNotAvailableAtOnce() {
+    Fleet fleet = new Fleet(30);
+    fleet.run(600);
+    Router leaving = fleet.routers.get(4);
+    leaving.serving = false;
+    fleet.run(400);
+
+    fleet.assertAllKnow(fleet.without(leaving));
+  }
+
+  /** The number of messages of a router must not grow with the number of routers. */
+  @Test
+  public void mostRoutersHandleTheSameNumberOfMessagesInAnyFleet() {
+    for (int size : new int[] {30, 300}) {
+      Fleet fleet = new Fleet(size);
+      fleet.run(600);
+      fleet.routers.forEach(router -> router.messages = 0);
+      fleet.run(1_000);
+
+      List<Integer> messages =
+          fleet.routers.stream().map(router -> router.messages).sorted().toList();
+      assertTrue(messages.get(size - 2 * DOMAINS - 1) <= 40, "messages a second: " + messages);
+      double mean = messages.stream().mapToInt(Integer::intValue).average().orElse(0);
+      assertTrue(mean <= 60, "mean of messages a second: " + mean);
+    }
+  }
+}
