--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CachedPartsReader.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CachedPartsReader.java
@@ -103,7 +103,7 @@
     public void readComplete() {}
 
     @Override
-    public void complete() {
+    public void complete(BodyFraming framing) {
       if (!usable) {
         log("response status is not 200 or the body is too large", 0);
         return;
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -71,6 +71,7 @@
   private int upstreamStatus;
   private boolean rejected;
   private FullHttpResponse upstreamError;
+  private boolean mustLog;
   private boolean ended;
 
   RequestTask(RouterContext router, CallerConnection connection, HttpRequest head, ByteBuf body) {
@@ -201,7 +202,8 @@
         newMetadata.notRun() || upstreamStatus == HttpResponseStatus.MISDIRECTED_REQUEST.code();
     boolean resumed = relay.isForwarding();
     if (!resumed) {
-      relay.start(newHead);
+      relay.start(
+          newHead, route.kind() == RouteKind.STREAMING && upstreamStatus < FIRST_ERROR_STATUS);
     }
     newMetadata
         .coldRemaining()
@@ -225,8 +227,7 @@
       return;
     }
     recordOutput();
-    boolean streams = route.kind() == RouteKind.STREAMING && relay.status() < FIRST_ERROR_STATUS;
-    relay.add(part, streams);
+    relay.add(part);
     if (relay.isForwarding() && !connection.isWritable()) {
       exchange.setReading(false);
     }
@@ -258,10 +259,11 @@
   }
 
   @Override
-  public void complete() {
+  public void complete(BodyFraming framing) {
     if (ended) {
       return;
     }
+    recordResponseEnd(framing);
     if (rejected) {
       handleRejection();
       return;
@@ -286,6 +288,17 @@
     }
   }
 
+  /** Records how the response ended, which tells a broken one from a complete one afterwards. */
+  private void recordResponseEnd(BodyFraming framing) {
+    boolean insideEvent = relay.isInsideEvent();
+    mustLog |= insideEvent;
+    router.metrics().count("upstream_responses", "framing", framing.label());
+    trace.step(
+        "response_end",
+        "framing=" + framing.label() + " inside_event=" + insideEvent,
+        router.now());
+  }
+
   private void handleRejection() {
     int status = upstreamStatus;
     boolean misdirected = status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
@@ -466,7 +479,7 @@
     String kind = route == null ? "none" : route.kind().name();
     router.metrics().recordRequest(kind, team.orElse(NO_TEAM).text(), status, now - arrivedNanos);
     boolean bad = status == 0 || status >= FIRST_ERROR_STATUS;
-    if (bad || router.drawLogSample()) {
+    if (bad || mustLog || router.drawLogSample()) {
       trace.step(
           "finished",
           "status="
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/ResponseRelay.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/ResponseRelay.java
@@ -29,8 +29,10 @@
   private final HttpDialect dialect;
   private HttpResponse head;
   private ByteBuf buffered;
+  private boolean streams;
   private boolean forwarding;
   private int partCount;
+  private final SseEventScanner scanner = new SseEventScanner();
   private Optional<SseEventSplitter> splitter = Optional.empty();
 
   ResponseRelay(CallerConnection connection, HttpDialect dialect) {
@@ -40,7 +42,7 @@
 
   /** Forwards complete events only, so that the stream can be resumed at another upstream. */
   void enableResuming() {
-    splitter = Optional.of(new SseEventSplitter());
+    splitter = Optional.of(new SseEventSplitter(scanner));
   }
 
   /** Tells whether another upstream can continue the response where this one broke off. */
@@ -53,9 +55,15 @@
     return splitter.flatMap(SseEventSplitter::lastEventId);
   }
 
-  /** Starts the response of an upstream with its status line and headers. */
-  void start(HttpResponse newHead) {
+  /**
+   * Starts the response of an upstream.
+   *
+   * @param newHead status line and headers
+   * @param isStream whether the body is a stream of events, which is forwarded as it arrives
+   */
+  void start(HttpResponse newHead, boolean isStream) {
     head = newHead;
+    streams = isStream;
   }
 
   int status() {
@@ -71,8 +79,13 @@
     return partCount;
   }
 
+  /** Tells whether the response is a stream whose last event is incomplete. */
+  boolean isInsideEvent() {
+    return streams && scanner.isInsideEvent();
+  }
+
   /** Adds a part of the body; parts of a stream are forwarded at once. */
-  void add(ByteBuf part, boolean streams) {
+  void add(ByteBuf part) {
     partCount++;
     boolean tooLong = bufferedBytes() + part.readableBytes() > MAX_BUFFERED_BYTES;
     if (!forwarding && (streams || tooLong)) {
@@ -88,12 +101,23 @@
 
   private void forward(ByteBuf part) {
     if (splitter.isEmpty()) {
+      scan(part);
       connection.sendPart(part);
     } else {
       sendEvents(splitter.get().completeEvents(part));
     }
   }
 
+  private void scan(ByteBuf part) {
+    if (streams) {
+      part.forEachByte(
+          next -> {
+            scanner.accept(next);
+            return true;
+          });
+    }
+  }
+
   private void sendEvents(ByteBuf events) {
     if (events.isReadable()) {
       connection.sendPart(events);
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/SseEventSplitter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/SseEventSplitter.java
@@ -1,8 +1,9 @@
 package org.dandelionbeam.routing.wiring;
 
+import static java.util.Objects.requireNonNull;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
@@ -16,15 +17,15 @@
   /** Longer events are forwarded in pieces, after which the stream can't be resumed. */
   private static final int MAX_EVENT_BYTES = 64 << 10;
 
-  private static final byte LINE_END = '\n';
-  private static final byte CARRIAGE_RETURN = '\r';
-  private static final String ID_FIELD = "id:";
-
+  private final SseEventScanner scanner;
   private final ByteBuf buffer = Unpooled.buffer();
-  private String lastEventId;
   private boolean splitMidEvent;
   private boolean anyForwarded;
 
+  SseEventSplitter(SseEventScanner scanner) {
+    this.scanner = requireNonNull(scanner, "scanner");
+  }
+
   /**
    * Adds bytes of the stream.
    *
@@ -33,8 +34,14 @@
    */
   ByteBuf completeEvents(ByteBuf part) {
     buffer.discardReadBytes();
-    buffer.writeBytes(part, part.readerIndex(), part.readableBytes());
-    int length = completeEventsLength();
+    int length = 0;
+    for (int i = part.readerIndex(); i < part.writerIndex(); i++) {
+      byte next = part.getByte(i);
+      buffer.writeByte(next);
+      if (scanner.accept(next)) {
+        length = buffer.readableBytes();
+      }
+    }
     if (length == 0 && buffer.readableBytes() > MAX_EVENT_BYTES) {
       splitMidEvent = true;
       length = buffer.readableBytes();
@@ -54,6 +61,7 @@
   /** Discards an incomplete event, whose upstream broke off. */
   void dropPartialEvent() {
     buffer.clear();
+    scanner.dropPartialEvent();
   }
 
   /**
@@ -61,34 +69,11 @@
    * forwarded.
    */
   boolean canResume() {
-    return !splitMidEvent && (lastEventId != null || !anyForwarded);
+    return !splitMidEvent && (scanner.lastEventId().isPresent() || !anyForwarded);
   }
 
   /** Returns the id of the last complete event with an id, empty if there was none. */
   Optional<String> lastEventId() {
-    return Optional.ofNullable(lastEventId);
-  }
-
-  /** Returns the length of the complete events in the buffer. Events end with an empty line. */
-  private int completeEventsLength() {
-    int start = buffer.readerIndex();
-    int completeLength = 0;
-    String id = null;
-    int line = start;
-    int end = buffer.indexOf(line, buffer.writerIndex(), LINE_END);
-    while (end >= 0) {
-      int contentEnd = end > line && buffer.getByte(end - 1) == CARRIAGE_RETURN ? end - 1 : end;
-      String text = buffer.toString(line, contentEnd - line, StandardCharsets.UTF_8);
-      if (text.startsWith(ID_FIELD)) {
-        id = text.substring(ID_FIELD.length()).trim();
-      }
-      if (text.isEmpty()) {
-        completeLength = end + 1 - start;
-        lastEventId = id == null ? lastEventId : id;
-      }
-      line = end + 1;
-      end = buffer.indexOf(line, buffer.writerIndex(), LINE_END);
-    }
-    return completeLength;
+    return scanner.lastEventId();
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamExchange.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamExchange.java
@@ -29,8 +29,8 @@
     /** Called when all parts that were read together have been passed to the listener. */
     void readComplete();
 
-    /** Called when the response is complete. */
-    void complete();
+    /** Called when the response is complete, as its framing tells. */
+    void complete(BodyFraming framing);
 
     /** Called when the exchange has failed; no further calls follow. */
     void failed(Verdict verdict, String cause);
@@ -45,6 +45,7 @@
   private boolean ended;
   private boolean headSeen;
   private boolean skippingResponse;
+  private BodyFraming framing = BodyFraming.CLOSE;
   private boolean keepAlive;
 
   UpstreamExchange(
@@ -114,15 +115,12 @@
       return;
     }
     headSeen = true;
-    keepAlive = HttpUtil.isKeepAlive(head) && isFramed(head);
+    framing = BodyFraming.of(head);
+    keepAlive = HttpUtil.isKeepAlive(head) && framing != BodyFraming.CLOSE;
     metadata.idleTimeout().ifPresent(connection::idleTimeout);
     listener.head(head, metadata);
   }
 
-  private static boolean isFramed(HttpResponse head) {
-    return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
-  }
-
   private void receivedContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
     if (skippingResponse) {
@@ -152,7 +150,7 @@
       finished.assign(null);
       write.addListener(done -> finished.finishExchange());
     }
-    listener.complete();
+    listener.complete(framing);
   }
 
   void readComplete() {
