--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamConnectionPool.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamConnectionPool.java
@@ -110,7 +110,7 @@
   }
 
   /** Sets up the channel handlers of a connection to an upstream. */
-  private static final class Pipeline extends ChannelInitializer<Channel> {
+  static final class Pipeline extends ChannelInitializer<Channel> {
     @Override
     protected void initChannel(Channel channel) {
       HttpDecoderConfig config =
