--- a/library/src/main/java/org/dandelionbeam/routing/FleetState.java
+++ b/library/src/main/java/org/dandelionbeam/routing/FleetState.java
@@ -88,7 +88,30 @@
    * @param asOf revision of the store
    */
   public void recordCurrent(StoreData data, long asOf) {
-    recordChange(data, Math.min(asOf, staleStateDetector.newestPeerVersions().of(data)));
+    StoreVersions peers = staleStateDetector.newestPeerVersions();
+    if (peers.era() == storeVersions.era()) {
+      recordChange(data, Math.min(asOf, peers.of(data)));
+    }
+  }
+
+  /**
+   * Records the era that the store states. In a later era than the known one, the store has been
+   * restored from a copy: all data has to be read again, and revisions of earlier eras no longer
+   * count.
+   *
+   * @param era number of restorations of the store
+   * @return true if the store was restored after this router had read from it
+   */
+  public boolean recordStoreEra(long era) {
+    if (era <= storeVersions.era()) {
+      return false;
+    }
+    boolean restored = !storeVersions.equals(StoreVersions.NONE);
+    storeVersions = StoreVersions.ofEra(era);
+    if (restored) {
+      upstreams.recordStoreRestored(nowNanos);
+    }
+    return restored;
   }
 
   /** Records that a call of this router to the store has failed. */
--- a/library/src/main/java/org/dandelionbeam/routing/StaleStateDetector.java
+++ b/library/src/main/java/org/dandelionbeam/routing/StaleStateDetector.java
@@ -52,7 +52,7 @@
    * @return true if a peer has a newer one
    */
   public boolean isBehind(StoreData data, StoreVersions own) {
-    return own.of(data) < newestPeerVersions.of(data);
+    return own.isOlderThan(newestPeerVersions, data);
   }
 
   /**
--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
@@ -31,11 +31,17 @@
    */
   static final Duration REMOVAL_GRACE = Duration.ofMillis(1_200);
 
+  /** Longer than a restored copy of the store can be behind. */
+  private static final Duration REMOVED_ENTRY_MEMORY = Duration.ofSeconds(60);
+
   private final Map<InstanceId, Tracked> tracked = new HashMap<>();
+  private final Map<InstanceId, Removed> removed = new HashMap<>();
   private final Map<ServiceName, List<UpstreamInstance>> usableByService = new HashMap<>();
   private final Set<FailureDomain> evacuated = new HashSet<>();
   private long storeUnreliableUntilNanos;
   private boolean storeHasFailed;
+  private long restoreGraceUntilNanos;
+  private boolean storeWasRestored;
   private long revision;
 
   private UpstreamDirectory() {}
@@ -50,27 +56,50 @@
   }
 
   /**
-   * Adds or updates an upstream, unless a later start of it is known.
+   * Adds or updates an upstream by an entry without a sequence number.
    *
-   * @param instance entry of the upstream
+   * @param instance the upstream
    * @param nowNanos monotonic time
    * @return true if this start of the upstream was not known
    */
   public boolean put(UpstreamInstance instance, long nowNanos) {
-    Tracked known = tracked.get(instance.id());
-    boolean newStart = known == null || known.instance.incarnation() < instance.incarnation();
-    if (known != null && known.instance.incarnation() > instance.incarnation()) {
+    return put(UpstreamEntry.of(instance), nowNanos);
+  }
+
+  /**
+   * Adds or updates an upstream, unless a later entry of it is known. An older one comes from a
+   * store that was restored from a copy.
+   *
+   * @param entry entry of the upstream
+   * @param nowNanos monotonic time
+   * @return true if this start of the upstream was not known
+   */
+  public boolean put(UpstreamEntry entry, long nowNanos) {
+    InstanceId id = entry.instance().id();
+    Tracked known = tracked.get(id);
+    if (isOutdated(entry, known)) {
       return false;
     }
-    long coldUntil = nowNanos + instance.coldRemaining().toNanos();
+    removed.remove(id);
+    boolean newStart =
+        known == null || known.instance().incarnation() < entry.instance().incarnation();
+    long coldUntil = nowNanos + entry.instance().coldRemaining().toNanos();
     if (!newStart) {
       coldUntil = Math.max(coldUntil, known.coldUntilNanos);
     }
-    tracked.put(instance.id(), new Tracked(instance, coldUntil));
+    tracked.put(id, new Tracked(entry, coldUntil));
     recordChange();
     return newStart;
   }
 
+  private boolean isOutdated(UpstreamEntry entry, Tracked known) {
+    if (known != null) {
+      return entry.isOlderThan(known.entry);
+    }
+    Removed last = removed.get(entry.instance().id());
+    return last != null && (entry.isOlderThan(last.entry) || entry.isCopyOf(last.entry));
+  }
+
   /**
    * Removes an upstream whose entry is gone, at once or after the grace period.
    *
@@ -82,15 +111,29 @@
     if (known == null) {
       return;
     }
-    if (storeHasFailed && nowNanos - storeUnreliableUntilNanos < 0 && !known.instance.draining()) {
-      long grace = Math.min(REMOVAL_GRACE.toNanos(), storeUnreliableUntilNanos - nowNanos);
+    long grace = known.instance().draining() ? 0 : removalGraceNanos(nowNanos);
+    if (grace > 0) {
       known.removeAtNanos = Math.min(known.removeAtNanos, nowNanos + grace);
     } else {
       tracked.remove(id);
-      recordChange();
+      recordRemoval(known, nowNanos);
     }
   }
 
+  private long removalGraceNanos(long nowNanos) {
+    if (storeWasRestored && nowNanos - restoreGraceUntilNanos < 0) {
+      return restoreGraceUntilNanos - nowNanos;
+    }
+    return storeHasFailed
+        ? Math.min(REMOVAL_GRACE.toNanos(), storeUnreliableUntilNanos - nowNanos)
+        : 0;
+  }
+
+  private void recordRemoval(Tracked known, long nowNanos) {
+    removed.put(known.instance().id(), new Removed(known.entry, nowNanos));
+    recordChange();
+  }
+
   private void recordChange() {
     revision++;
     usableByService.clear();
@@ -102,11 +145,11 @@
    * @param listed all entries of upstreams
    * @param nowNanos monotonic time
    */
-  public void replaceAll(Collection<UpstreamInstance> listed, long nowNanos) {
+  public void replaceAll(Collection<UpstreamEntry> listed, long nowNanos) {
     Set<InstanceId> present = new HashSet<>();
-    for (UpstreamInstance instance : listed) {
-      present.add(instance.id());
-      put(instance, nowNanos);
+    for (UpstreamEntry entry : listed) {
+      present.add(entry.instance().id());
+      put(entry, nowNanos);
     }
     List.copyOf(tracked.keySet()).stream()
         .filter(id -> !present.contains(id))
@@ -123,6 +166,17 @@
     storeUnreliableUntilNanos = nowNanos + LAPSE_GRACE.toNanos();
   }
 
+  /**
+   * Records that the store was restored from a copy. Entries that the copy lacks are written again
+   * if their upstreams are alive.
+   *
+   * @param nowNanos monotonic time
+   */
+  public void recordStoreRestored(long nowNanos) {
+    storeWasRestored = true;
+    restoreGraceUntilNanos = nowNanos + LAPSE_GRACE.toNanos();
+  }
+
   /**
    * Removes the upstreams whose grace period is over.
    *
@@ -130,16 +184,17 @@
    * @return the removed upstreams
    */
   public List<InstanceId> removeExpired(long nowNanos) {
-    List<InstanceId> removed = new ArrayList<>();
+    List<InstanceId> expired = new ArrayList<>();
     for (Iterator<Tracked> all = tracked.values().iterator(); all.hasNext(); ) {
       Tracked known = all.next();
       if (known.removeAtNanos != Long.MAX_VALUE && nowNanos - known.removeAtNanos >= 0) {
-        removed.add(known.instance.id());
+        expired.add(known.instance().id());
         all.remove();
-        recordChange();
+        recordRemoval(known, nowNanos);
       }
     }
-    return removed;
+    removed.values().removeIf(entry -> nowNanos - entry.atNanos() > REMOVED_ENTRY_MEMORY.toNanos());
+    return expired;
   }
 
   /**
@@ -153,7 +208,7 @@
     for (FailureDomain domain : evacuated) {
       if (!domains.contains(domain)) {
         tracked.values().stream()
-            .filter(known -> known.instance.domain().equals(domain))
+            .filter(known -> known.instance().domain().equals(domain))
             .forEach(known -> known.extendCold(nowNanos + coldStart.toNanos()));
       }
     }
@@ -207,7 +262,7 @@
   private List<UpstreamInstance> findUsable(ServiceName service) {
     List<UpstreamInstance> found = new ArrayList<>();
     for (Tracked known : tracked.values()) {
-      UpstreamInstance instance = known.instance;
+      UpstreamInstance instance = known.instance();
       if (instance.service().equals(service)
           && !instance.draining()
           && !evacuated.contains(instance.domain())) {
@@ -225,7 +280,7 @@
    */
   public Optional<UpstreamInstance> find(int number) {
     return tracked.values().stream()
-        .map(known -> known.instance)
+        .map(Tracked::instance)
         .filter(instance -> instance.number() == number)
         .findFirst();
   }
@@ -258,22 +313,29 @@
    * @return the upstreams, including draining ones
    */
   public List<UpstreamInstance> all() {
-    return tracked.values().stream().map(known -> known.instance).toList();
+    return tracked.values().stream().map(Tracked::instance).toList();
   }
 
   /** An upstream with its inferred state. */
   private static final class Tracked {
-    private final UpstreamInstance instance;
+    private final UpstreamEntry entry;
     private long coldUntilNanos;
     private long removeAtNanos = Long.MAX_VALUE;
 
-    Tracked(UpstreamInstance instance, long coldUntilNanos) {
-      this.instance = instance;
+    Tracked(UpstreamEntry entry, long coldUntilNanos) {
+      this.entry = entry;
       this.coldUntilNanos = coldUntilNanos;
     }
 
+    UpstreamInstance instance() {
+      return entry.instance();
+    }
+
     void extendCold(long untilNanos) {
       coldUntilNanos = Math.max(coldUntilNanos, untilNanos);
     }
   }
+
+  /** Last entry of an upstream that is gone. */
+  private record Removed(UpstreamEntry entry, long atNanos) {}
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
@@ -105,13 +105,15 @@
 
   private static void packVersions(MessagePacker packer, StoreVersions versions)
       throws IOException {
+    packer.packLong(versions.era());
     packer.packLong(versions.operators());
     packer.packLong(versions.upstreams());
     packer.packLong(versions.routers());
   }
 
   private static StoreVersions unpackVersions(MessageUnpacker unpacker) throws IOException {
-    return new StoreVersions(unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong());
+    return new StoreVersions(
+        unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong());
   }
 
   private static void packCounters(MessagePacker packer, FleetCounters counters)
--- a/library/src/test/java/org/dandelionbeam/routing/FleetStateTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/FleetStateTest.java
@@ -134,4 +134,56 @@
     assertEquals(pause.toMillis(), expectedMs);
     assertTrue(plan.isFailing());
   }
+
+  private static FleetState stateOfEra(long era) {
+    FleetState state =
+        FleetState.of(
+            new FleetLimits(0.2, 54, Duration.ofSeconds(10), 1.5, 5),
+            FleetMembers.of(member("1", 1)));
+    state.recordStoreEra(era);
+    return state;
+  }
+
+  // Guards against revisions that a restored store gives out twice: they compared as equal.
+  @Test
+  public void revisionsOfALaterEraAreNewerThanAllEarlierOnes() {
+    FleetState state = stateOfEra(1);
+    state.recordChange(StoreData.OPERATORS, 900);
+    StoreVersions before = state.storeVersions();
+
+    assertTrue(state.recordStoreEra(2));
+    state.recordChange(StoreData.OPERATORS, 850);
+    StoreVersions after = state.storeVersions();
+
+    assertTrue(before.isOlderThan(after, StoreData.OPERATORS));
+    assertFalse(after.isOlderThan(before, StoreData.OPERATORS));
+    assertEquals(before.newest(after), after);
+    assertFalse(state.recordStoreEra(1), "an earlier era");
+  }
+
+  // Guards against a new listing by each router that starts.
+  @Test
+  public void firstEraThatARouterHearsOfIsNoRestoration() {
+    FleetState state = stateOfEra(0);
+
+    assertFalse(state.recordStoreEra(7));
+    assertTrue(state.recordStoreEra(8));
+  }
+
+  // Guards against a router that stays at the data of the earlier era although a peer has read
+  // more.
+  @Test
+  public void routerIsBehindAPeerThatHasReadALaterEra() {
+    FleetState state = stateOfEra(1);
+    state.recordChange(StoreData.UPSTREAMS, 900);
+    StaleStateDetector detector = state.staleStateDetector();
+    detector.recordPeerVersions(new StoreVersions(2, 0, 850, 0));
+
+    assertTrue(detector.isBehind(StoreData.UPSTREAMS, state.storeVersions()));
+    state.recordCurrent(StoreData.UPSTREAMS, 950);
+    assertTrue(detector.isBehind(StoreData.UPSTREAMS, state.storeVersions()));
+    state.recordStoreEra(2);
+    state.recordCurrent(StoreData.UPSTREAMS, 860);
+    assertFalse(detector.isBehind(StoreData.UPSTREAMS, state.storeVersions()));
+  }
 }
--- a/library/src/test/java/org/dandelionbeam/routing/UpstreamDirectoryTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/UpstreamDirectoryTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import org.dandelionbeam.base.FailureDomain;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -17,7 +18,12 @@
   private static final InstanceId ID = InstanceId.of("one");
   private static final FailureDomain DOMAIN = FailureDomain.of("a");
 
-  private final UpstreamDirectory directory = UpstreamDirectory.create();
+  private UpstreamDirectory directory;
+
+  @BeforeMethod
+  public void createDirectory() {
+    directory = UpstreamDirectory.create();
+  }
 
   private static UpstreamInstance entry(long incarnation, boolean draining, int coldMs) {
     return new UpstreamInstance(
@@ -116,4 +122,59 @@
 
     assertTrue(upstreams.isCold(ID, 2_000 * MS));
   }
+
+  private static UpstreamEntry numbered(long incarnation, boolean draining, long sequence) {
+    return new UpstreamEntry(entry(incarnation, draining, 0), sequence);
+  }
+
+  @DataProvider
+  public Object[][] entriesAfterTheUpstreamWasGone() {
+    return new Object[][] {
+      {numbered(2, false, 6), false},
+      {numbered(2, false, 7), false},
+      {numbered(1, false, 9), false},
+      {numbered(2, false, 8), true},
+      {numbered(3, false, 1), true},
+      {numbered(2, false, UpstreamEntry.UNNUMBERED), true},
+    };
+  }
+
+  // Guards against an upstream that is gone and comes back with an older copy of the store.
+  @Test(dataProvider = "entriesAfterTheUpstreamWasGone")
+  public void olderEntryOfAnUpstreamThatIsGoneIsIgnored(UpstreamEntry returned, boolean usable) {
+    directory.put(numbered(2, false, 7), 0);
+    directory.remove(ID, MS);
+    directory.recordStoreRestored(2 * MS);
+    directory.replaceAll(List.of(returned), 3 * MS);
+
+    assertEquals(directory.usable(SERVICE).size(), usable ? 1 : 0);
+  }
+
+  // Guards against a draining upstream that an older copy of the store calls ready.
+  @Test
+  public void olderEntryOfADrainingUpstreamIsIgnored() {
+    directory.put(numbered(2, false, 7), 0);
+    directory.put(numbered(2, true, 8), MS);
+    directory.put(numbered(2, false, 7), 2 * MS);
+    assertEquals(directory.usable(SERVICE), List.of());
+
+    directory.put(numbered(2, false, 9), 3 * MS);
+    assertEquals(directory.usable(SERVICE).size(), 1);
+  }
+
+  @DataProvider
+  public Object[][] timesAfterARestoration() {
+    return new Object[][] {{100, true}, {2_100, true}, {2_300, false}};
+  }
+
+  // Guards against the loss of live upstreams that registered after the copy was made.
+  @Test(dataProvider = "timesAfterARestoration")
+  public void upstreamThatTheCopyLacksStaysUntilItHadTimeToReturn(int ms, boolean usable) {
+    directory.put(numbered(1, false, 1), 0);
+    directory.recordStoreRestored(0);
+    directory.replaceAll(List.of(), 10 * MS);
+    directory.removeExpired(ms * MS);
+
+    assertEquals(directory.usable(SERVICE).isEmpty(), !usable);
+  }
 }
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
@@ -32,7 +32,7 @@
 /** Encoding and decoding of the messages between routers. */
 public class PeerMessageCodecTest {
   private static final RouterName NAME = RouterName.of("router-1");
-  private static final StoreVersions VERSIONS = new StoreVersions(12, 34, 56);
+  private static final StoreVersions VERSIONS = new StoreVersions(3, 12, 34, 56);
   private static final FleetCounters COUNTERS =
       new FleetCounters(Map.of(9, 1.5), Map.of(3, new RetryCounts(100, 7)));
   private static final UpstreamLoad LOAD = new UpstreamLoad(1, 2_000, 3_000);
--- a/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
+++ b/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
@@ -15,6 +15,8 @@
 import org.dandelionbeam.routing.FleetMembers.Member;
 import org.dandelionbeam.routing.FleetState;
 import org.dandelionbeam.routing.RouterName;
+import org.dandelionbeam.routing.StoreData;
+import org.dandelionbeam.routing.StoreVersions;
 import org.dandelionbeam.routing.TeamName;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -231,4 +233,28 @@
       assertTrue(mean <= 60, "mean of messages a second: " + mean);
     }
   }
+
+  // Guards against routers that go on with the data of a store that was restored since.
+  @Test(dataProvider = "sizes")
+  public void laterEraOfTheStoreReachesAllRouters(int size) {
+    Fleet fleet = new Fleet(size);
+    fleet.routers.forEach(router -> router.state.recordStoreEra(1));
+    fleet.routers.forEach(router -> router.state.recordChange(StoreData.OPERATORS, 900));
+    fleet.run(400);
+    Router first = fleet.routers.get(0);
+    first.state.recordStoreEra(2);
+    first.state.recordChange(StoreData.OPERATORS, 850);
+    fleet.run(400);
+
+    for (Router router : fleet.routers) {
+      assertEquals(
+          router.state.staleStateDetector().isBehind(StoreData.OPERATORS, versionsOf(router)),
+          router != first,
+          router.member.name().text());
+    }
+  }
+
+  private static StoreVersions versionsOf(Router router) {
+    return router.state.storeVersions();
+  }
 }
