--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
@@ -34,8 +34,12 @@
   /** Longer than a restored copy of the store can be behind. */
   private static final Duration REMOVED_ENTRY_MEMORY = Duration.ofSeconds(60);
 
+  /** Longer than an upstream serves after it has said that it leaves. */
+  private static final Duration LEAVING_MEMORY = Duration.ofSeconds(120);
+
   private final Map<InstanceId, Tracked> tracked = new HashMap<>();
   private final Map<InstanceId, Removed> removed = new HashMap<>();
+  private final Map<Integer, Long> leavingSince = new HashMap<>();
   private final Map<ServiceName, List<UpstreamInstance>> usableByService = new HashMap<>();
   private final Set<FailureDomain> evacuated = new HashSet<>();
   private long storeUnreliableUntilNanos;
@@ -197,6 +201,44 @@
     return expired;
   }
 
+  /** Forgets the starts that are gone for long; a start that is still listed never serves again. */
+  private void forgetLeaving(long nowNanos) {
+    Set<Integer> listed = new HashSet<>();
+    tracked.values().forEach(known -> listed.add(known.instance().number()));
+    leavingSince
+        .entrySet()
+        .removeIf(
+            start ->
+                !listed.contains(start.getKey())
+                    && nowNanos - start.getValue() > LEAVING_MEMORY.toNanos());
+  }
+
+  /**
+   * Records starts of upstreams that have said in a response that they leave. They get no more
+   * requests, whatever their entries say.
+   *
+   * @param numbers numbers of the starts
+   * @param nowNanos monotonic time
+   */
+  public void recordLeaving(Collection<Integer> numbers, long nowNanos) {
+    boolean anyNew = false;
+    for (int number : numbers) {
+      anyNew |= leavingSince.putIfAbsent(number, nowNanos) == null;
+    }
+    if (anyNew) {
+      recordChange();
+    }
+  }
+
+  /**
+   * Returns the starts of upstreams that are known to leave.
+   *
+   * @return their numbers
+   */
+  public Set<Integer> leaving() {
+    return Set.copyOf(leavingSince.keySet());
+  }
+
   /**
    * Sets the failure domains that operators took out of service.
    *
@@ -265,6 +307,7 @@
       UpstreamInstance instance = known.instance();
       if (instance.service().equals(service)
           && !instance.draining()
+          && !leavingSince.containsKey(instance.number())
           && !evacuated.contains(instance.domain())) {
         found.add(instance);
       }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
@@ -111,11 +111,13 @@
    * @param notRun whether the upstream states that it did not run the request
    * @param idleTimeout how long the upstream keeps an idle connection, empty if not given
    * @param coldRemaining how much longer the upstream is cold, empty if not given
+   * @param leaving whether the upstream states that it shuts down and takes no new requests
    */
   record ResponseMetadata(
       Optional<String> requestId,
       boolean signed,
       boolean notRun,
       Optional<Duration> idleTimeout,
-      Optional<Duration> coldRemaining) {}
+      Optional<Duration> coldRemaining,
+      boolean leaving) {}
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.dandelionbeam.base.ErrorCode;
 import org.dandelionbeam.base.FleetException;
@@ -197,8 +198,7 @@
   @Override
   public void head(HttpResponse newHead, HttpDialect.ResponseMetadata newMetadata) {
     upstreamStatus = newHead.status().code();
-    rejected =
-        newMetadata.notRun() || upstreamStatus == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    rejected = newMetadata.notRun() || isMisdirected();
     boolean resumed = relay.isForwarding();
     if (!resumed) {
       relay.start(
@@ -207,6 +207,9 @@
     newMetadata
         .coldRemaining()
         .ifPresent(cold -> router.fleet().upstreams().markCold(id(), cold, router.now()));
+    if (newMetadata.leaving() && !isMisdirected()) {
+      recordLeaving();
+    }
     if (!rejected && (!newMetadata.signed() || (resumed && upstreamStatus >= FIRST_ERROR_STATUS))) {
       trace.step("unusable_answer", "status=" + upstreamStatus, router.now());
       exchange.abandon();
@@ -216,6 +219,20 @@
     }
   }
 
+  /** Tells whether another upstream than the expected one has responded. */
+  private boolean isMisdirected() {
+    return upstreamStatus == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+  }
+
+  private void recordLeaving() {
+    int number = grant.instance().number();
+    if (!router.fleet().upstreams().leaving().contains(number)) {
+      router.log().line("upstream_leaving").with("upstream", id()).write();
+      router.fleet().upstreams().recordLeaving(Set.of(number), router.now());
+      router.scheduling().schedulePoll();
+    }
+  }
+
   private InstanceId id() {
     return grant.instance().id();
   }
@@ -293,7 +310,7 @@
 
   private void handleRejection() {
     int status = upstreamStatus;
-    boolean misdirected = status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    boolean misdirected = isMisdirected();
     trace.step("rejected", "status=" + status + " upstream=" + id(), router.now());
     router.metrics().count("upstream_rejections", "status", Integer.toString(status));
     if (misdirected) {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
@@ -32,6 +32,7 @@
       packer.packLong(report.sequence());
       packer.packBoolean(report.serving());
       packer.packBoolean(report.storeFailed());
+      PeerMessageCodec.packNumbers(packer, report.leavingUpstreams());
       packVersions(packer, report.versions());
       packCounters(packer, report.counters());
     } else if (message instanceof RelayReport report) {
@@ -40,6 +41,7 @@
       PeerMessageCodec.packNumbers(packer, report.serving());
       PeerMessageCodec.packNumbers(packer, report.leaving());
       packer.packBoolean(report.storeFailed());
+      PeerMessageCodec.packNumbers(packer, report.leavingUpstreams());
       packVersions(packer, report.versions());
       packCounters(packer, report.counters());
     } else if (message instanceof FleetReport report) {
@@ -48,6 +50,7 @@
       packer.packLong(report.sequence());
       PeerMessageCodec.packNumbers(packer, report.unavailable());
       packer.packBoolean(report.storeFailed());
+      PeerMessageCodec.packNumbers(packer, report.leavingUpstreams());
       packVersions(packer, report.versions());
       packCounters(packer, report.counters());
     }
@@ -62,6 +65,7 @@
               unpacker.unpackLong(),
               unpacker.unpackBoolean(),
               unpacker.unpackBoolean(),
+              PeerMessageCodec.unpackNumbers(unpacker),
               unpackVersions(unpacker),
               unpackCounters(unpacker));
       case RELAY_REPORT ->
@@ -70,6 +74,7 @@
               PeerMessageCodec.unpackNumbers(unpacker),
               PeerMessageCodec.unpackNumbers(unpacker),
               unpacker.unpackBoolean(),
+              PeerMessageCodec.unpackNumbers(unpacker),
               unpackVersions(unpacker),
               unpackCounters(unpacker));
       case FLEET_REPORT ->
@@ -78,6 +83,7 @@
               unpacker.unpackLong(),
               PeerMessageCodec.unpackNumbers(unpacker),
               unpacker.unpackBoolean(),
+              PeerMessageCodec.unpackNumbers(unpacker),
               unpackVersions(unpacker),
               unpackCounters(unpacker));
       default -> throw new IOException("unknown type of report: " + type);
--- a/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
@@ -140,6 +140,7 @@
         sequence,
         serving.getAsBoolean(),
         fleet.hasStoreFailed(),
+        fleet.upstreams().leaving(),
         fleet.storeVersions(),
         counters);
   }
@@ -203,6 +204,7 @@
         report.sequence(),
         total.unavailable(),
         total.storeFailed(),
+        total.leavingUpstreams(),
         total.versions(),
         total.counters());
   }
@@ -234,7 +236,14 @@
       storeFailed |= message.storeFailed();
       (message.serving() ? available : leaving).add(message.sender().name().number());
     }
-    return new RelayReport(self().name(), available, leaving, storeFailed, versions, sum.total());
+    return new RelayReport(
+        self().name(),
+        available,
+        leaving,
+        storeFailed,
+        fleet.upstreams().leaving(),
+        versions,
+        sum.total());
   }
 
   private FleetReport fleetReport(RelayReport own, long now) {
@@ -248,7 +257,13 @@
       storeFailed |= report.message.storeFailed();
     }
     return new FleetReport(
-        self().name(), 0, fleet.members().unavailable(now), storeFailed, versions, sum.total());
+        self().name(),
+        0,
+        fleet.members().unavailable(now),
+        storeFailed,
+        fleet.upstreams().leaving(),
+        versions,
+        sum.total());
   }
 
   /**
@@ -297,12 +312,14 @@
   }
 
   private void receiveRouterReport(RouterReport report, long now) {
+    fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
     fleet.staleStateDetector().recordPeerVersions(report.versions());
     fleet.members().recordReport(report.sender(), report.serving(), now);
     routerReports.put(report.sender().name(), new Received<>(report, now));
   }
 
   private void receiveRelayReport(RelayReport report, long now) {
+    fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
     fleet.staleStateDetector().recordPeerVersions(report.versions());
     report.serving().forEach(number -> fleet.members().recordPresent(number, true, now));
     report.leaving().forEach(number -> fleet.members().recordPresent(number, false, now));
@@ -311,6 +328,7 @@
   }
 
   private void receiveFleetReport(FleetReport report, long now) {
+    fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
     fleet.staleStateDetector().recordPeerVersions(report.versions());
     recordStoreFailure(report.storeFailed(), now);
     if (report.relay().equals(currentRelay)) {
--- a/library/src/main/java/org/dandelionbeam/summary/SummaryMessage.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryMessage.java
@@ -18,6 +18,7 @@
    * @param sequence number that grows with each report of this start of the router
    * @param serving whether it accepts requests
    * @param storeFailed whether a call of the router to the store has failed lately
+   * @param leavingUpstreams numbers of the upstreams that it knows to leave
    * @param versions versions of the data that it has read from the store
    * @param counters its own part of the sums
    */
@@ -26,9 +27,16 @@
       long sequence,
       boolean serving,
       boolean storeFailed,
+      Set<Integer> leavingUpstreams,
       StoreVersions versions,
       FleetCounters counters)
-      implements SummaryMessage {}
+      implements SummaryMessage {
+    /** Copies the set. */
+    public RouterReport {
+      requireNonNull(sender, "sender");
+      leavingUpstreams = Set.copyOf(leavingUpstreams);
+    }
+  }
 
   /**
    * Sum over the routers that report to one relay, sent to other relays.
@@ -37,6 +45,7 @@
    * @param serving numbers of the routers that report to it and accept requests
    * @param leaving numbers of the routers that report to it and accept no requests
    * @param storeFailed whether a call of any of them to the store has failed lately
+   * @param leavingUpstreams numbers of the upstreams that these routers know to leave
    * @param versions newest versions that any of these routers has read
    * @param counters sum of the counters of these routers
    */
@@ -45,6 +54,7 @@
       Set<Integer> serving,
       Set<Integer> leaving,
       boolean storeFailed,
+      Set<Integer> leavingUpstreams,
       StoreVersions versions,
       FleetCounters counters)
       implements SummaryMessage {
@@ -53,6 +63,7 @@
       requireNonNull(relay, "relay");
       serving = Set.copyOf(serving);
       leaving = Set.copyOf(leaving);
+      leavingUpstreams = Set.copyOf(leavingUpstreams);
     }
   }
 
@@ -63,6 +74,7 @@
    * @param sequence number of the receiver's last report, which the sums contain
    * @param unavailable numbers of the registered routers that are not available
    * @param storeFailed whether a call of any router to the store has failed lately
+   * @param leavingUpstreams numbers of the upstreams that any router knows to leave
    * @param versions newest versions that any router has read
    * @param counters sum of the counters of all routers
    */
@@ -71,13 +83,15 @@
       long sequence,
       Set<Integer> unavailable,
       boolean storeFailed,
+      Set<Integer> leavingUpstreams,
       StoreVersions versions,
       FleetCounters counters)
       implements SummaryMessage {
-    /** Copies the set. */
+    /** Copies the sets. */
     public FleetReport {
       requireNonNull(relay, "relay");
       unavailable = Set.copyOf(unavailable);
+      leavingUpstreams = Set.copyOf(leavingUpstreams);
     }
   }
 }
--- a/library/src/test/java/org/dandelionbeam/routing/UpstreamDirectoryTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/UpstreamDirectoryTest.java
@@ -177,4 +177,17 @@
 
     assertEquals(directory.usable(SERVICE).isEmpty(), !usable);
   }
+
+  // Guards against requests to an upstream that has said in a response that it leaves.
+  @Test
+  public void upstreamThatSaysItLeavesIsUsedAgainOnlyAfterANewStart() {
+    directory.put(numbered(1, false, 1), 0);
+    directory.recordLeaving(Set.of(entry(1, false, 0).number()), MS);
+    directory.put(numbered(1, false, 2), 2 * MS);
+    directory.removeExpired(600_000 * MS);
+    assertEquals(directory.usable(SERVICE), List.of());
+
+    directory.put(numbered(2, false, 1), 3 * MS);
+    assertEquals(directory.usable(SERVICE).size(), 1);
+  }
 }
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
@@ -42,7 +42,7 @@
     Endpoint peers = new Endpoint("10.0.0.1", 81);
     Member member = new Member(NAME, callers, peers, FailureDomain.of("a"), 7, 0.75);
     return new PeerMessage.Summary(
-        new SummaryMessage.RouterReport(member, 5, true, false, VERSIONS, COUNTERS));
+        new SummaryMessage.RouterReport(member, 5, true, false, Set.of(3, 9), VERSIONS, COUNTERS));
   }
 
   private static Submission submission() {
@@ -82,11 +82,12 @@
       {
         new PeerMessage.Summary(
             new SummaryMessage.RelayReport(
-                NAME, Set.of(1, -2), Set.of(3), true, VERSIONS, COUNTERS))
+                NAME, Set.of(1, -2), Set.of(3), true, Set.of(7), VERSIONS, COUNTERS))
       },
       {
         new PeerMessage.Summary(
-            new SummaryMessage.FleetReport(NAME, 8, Set.of(4), false, VERSIONS, COUNTERS))
+            new SummaryMessage.FleetReport(
+                NAME, 8, Set.of(4), false, Set.of(3), VERSIONS, COUNTERS))
       },
       {new PeerMessage.Requests(NAME, requests)},
       {new PeerMessage.Replies(NAME, replies)},
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/PlainDialect.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/PlainDialect.java
@@ -20,7 +20,8 @@
         true,
         false,
         Optional.empty(),
-        Optional.empty());
+        Optional.empty(),
+        false);
   }
 
   @Override
--- a/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
+++ b/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.dandelionbeam.base.FailureDomain;
 import org.dandelionbeam.routing.Endpoint;
 import org.dandelionbeam.routing.FleetLimits;
@@ -254,6 +255,19 @@
     }
   }
 
+  // Guards against schedulers that go on granting an upstream that leaves.
+  @Test(dataProvider = "sizes")
+  public void upstreamThatLeavesIsKnownToAllRoutersWithinASecond(int size) {
+    Fleet fleet = new Fleet(size);
+    fleet.run(400);
+    fleet.routers.get(0).state.upstreams().recordLeaving(Set.of(17), fleet.nowMs * MS);
+    fleet.run(1_000);
+
+    for (Router router : fleet.routers) {
+      assertEquals(router.state.upstreams().leaving(), Set.of(17), router.member.name().text());
+    }
+  }
+
   private static StoreVersions versionsOf(Router router) {
     return router.state.storeVersions();
   }
