--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -3,21 +3,14 @@
 import static java.util.Objects.requireNonNull;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
-import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.dandelionbeam.base.ErrorCode;
 import org.dandelionbeam.base.FleetException;
@@ -47,8 +40,6 @@
 
   private static final int FIRST_ERROR_STATUS = 400;
   private static final int FIRST_SERVER_ERROR_STATUS = 500;
-  private static final double NANOS_PER_SECOND = 1e9;
-  private static final long NANOS_PER_MS = 1_000_000;
   private static final TeamName NO_TEAM = TeamName.of("anonymous");
 
   private final RouterContext router;
@@ -94,37 +85,28 @@
     Optional<RoutingTable> table = router.fleet().table();
     if (table.isEmpty()) {
       sendUnavailable(ErrorCode.NOT_READY, RETRY_AFTER_NOT_READY);
-    } else if (admit(table.get())) {
+    } else {
+      admit(table.get(), now);
+    }
+  }
+
+  private void admit(RoutingTable table, long now) {
+    Admission admission = Admission.of(table, head, metadata.key());
+    if (admission instanceof Admission.Denied denied) {
+      trace.step(denied.reason(), "config=" + table.version(), now);
+      sendError(denied.status(), denied.code());
+    } else if (admission instanceof Admission.Admitted admitted) {
+      route = admitted.route();
+      team = admitted.team();
       if (router.accepts(metadata.prompt().expectedDuration())) {
-        submit(table.get(), now);
+        submit(table, now);
       } else {
-        trace.step("stopping", "config=" + table.get().version(), now);
+        trace.step("stopping", "config=" + table.version(), now);
         sendUnavailable(ErrorCode.STOPPING, RETRY_AFTER_DRAINING);
       }
     }
   }
 
-  private boolean admit(RoutingTable table) {
-    String uri = head.uri();
-    int query = uri.indexOf('?');
-    String path = query < 0 ? uri : uri.substring(0, query);
-    String host = head.headers().get(HttpHeaderNames.HOST);
-    Optional<RouteRule> match = table.match(host, path);
-    if (match.isEmpty()) {
-      trace.step("no_route", "config=" + table.version(), router.now());
-      sendError(HttpResponseStatus.NOT_FOUND, ErrorCode.NOT_FOUND);
-      return false;
-    }
-    route = match.get();
-    team = metadata.key().flatMap(table::teamOf);
-    if (team.isEmpty() && table.keysRequired() && !route.anonymous()) {
-      trace.step("unknown_key", "config=" + table.version(), router.now());
-      sendError(HttpResponseStatus.UNAUTHORIZED, ErrorCode.UNAUTHORIZED);
-      return false;
-    }
-    return true;
-  }
-
   private void submit(RoutingTable table, long now) {
     trace.routed(route, team.orElse(NO_TEAM).text(), table.version(), now);
     long timeoutNanos =
@@ -181,18 +163,7 @@
     HttpDialect.UpstreamRequestMetadata added =
         new HttpDialect.UpstreamRequestMetadata(
             grant.instance().id(), remaining, team, relay.lastEventId());
-    HttpHeaders headers = router.dialect().upstreamHeaders(head, added);
-    FullHttpRequest request =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1, head.method(), head.uri(), body.retainedDuplicate());
-    request.headers().set(headers);
-    boolean hasBody =
-        head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-            || HttpUtil.isTransferEncodingChunked(head);
-    if (hasBody) {
-      HttpUtil.setContentLength(request, body.readableBytes());
-    }
-    return request;
+    return UpstreamRequests.of(router.dialect(), head, body, added);
   }
 
   @Override
@@ -204,12 +175,7 @@
       relay.start(
           newHead, route.kind() == RouteKind.STREAMING && upstreamStatus < FIRST_ERROR_STATUS);
     }
-    newMetadata
-        .coldRemaining()
-        .ifPresent(cold -> router.fleet().upstreams().markCold(id(), cold, router.now()));
-    if (newMetadata.leaving() && !isMisdirected()) {
-      recordLeaving();
-    }
+    router.feedback().record(grant.instance(), upstreamStatus, newMetadata);
     if (!rejected && (!newMetadata.signed() || (resumed && upstreamStatus >= FIRST_ERROR_STATUS))) {
       trace.step("unusable_answer", "status=" + upstreamStatus, router.now());
       exchange.abandon();
@@ -224,15 +190,6 @@
     return upstreamStatus == HttpResponseStatus.MISDIRECTED_REQUEST.code();
   }
 
-  private void recordLeaving() {
-    int number = grant.instance().number();
-    if (!router.fleet().upstreams().leaving().contains(number)) {
-      router.log().line("upstream_leaving").with("upstream", id()).write();
-      router.fleet().upstreams().recordLeaving(Set.of(number), router.now());
-      router.scheduling().schedulePoll();
-    }
-  }
-
   private InstanceId id() {
     return grant.instance().id();
   }
@@ -449,12 +406,7 @@
   }
 
   private void sendUnavailable(ErrorCode code, Duration retryAfter) {
-    FullHttpResponse response = Replies.error(HttpResponseStatus.SERVICE_UNAVAILABLE, code);
-    double seconds = retryAfter.toNanos() / NANOS_PER_SECOND;
-    response
-        .headers()
-        .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
-    sendRouterResponse(response);
+    sendRouterResponse(Replies.unavailable(code, retryAfter));
   }
 
   private void sendError(HttpResponseStatus status, ErrorCode code) {
@@ -489,17 +441,8 @@
     router.metrics().recordRequest(kind, team.orElse(NO_TEAM).text(), status, now - arrivedNanos);
     boolean bad = status == 0 || status >= FIRST_ERROR_STATUS;
     if (bad || router.drawLogSample()) {
-      trace.step(
-          "finished",
-          "status="
-              + status
-              + " runs="
-              + attempts.runs()
-              + " parts="
-              + relay.partCount()
-              + " stream_ms="
-              + (outputSeen ? (now - firstOutputNanos) / NANOS_PER_MS : 0),
-          now);
+      long streamNanos = outputSeen ? now - firstOutputNanos : 0;
+      trace.finished(status, attempts.runs(), relay.partCount(), streamNanos, now);
       trace.write(router.log(), metadata == null ? "none" : metadata.requestId());
     }
   }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
@@ -1,5 +1,6 @@
 package org.dandelionbeam.routing.wiring;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -52,6 +53,22 @@
     add("refused", detail, 0, nowNanos);
   }
 
+  /**
+   * Records the end of the request.
+   *
+   * @param status status of the response, 0 if the caller left
+   * @param runs upstreams at which the request ran or may have run
+   * @param parts parts of the body that arrived from upstreams
+   * @param streamNanos time from the first output to the end
+   * @param nowNanos monotonic time
+   */
+  void finished(int status, int runs, int parts, long streamNanos, long nowNanos) {
+    long streamMs = Duration.ofNanos(streamNanos).toMillis();
+    String detail =
+        "status=" + status + " runs=" + runs + " parts=" + parts + " stream_ms=" + streamMs;
+    add("finished", detail, 0, nowNanos);
+  }
+
   void step(String name, String detail, long nowNanos) {
     add(name, detail, 0, nowNanos);
   }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -33,6 +33,7 @@
   private final UpstreamConnectionPool pool;
   private final EventLog log;
   private final RouterMetrics metrics;
+  private final UpstreamFeedback feedback = new UpstreamFeedback(this);
   private final SplittableRandom random = new SplittableRandom();
   private final Set<CallerConnection> connections = new HashSet<>();
   private long reservedBodyBytes;
@@ -85,6 +86,10 @@
     return metrics;
   }
 
+  UpstreamFeedback feedback() {
+    return feedback;
+  }
+
   Set<CallerConnection> connections() {
     return connections;
   }
