--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamHealth.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamHealth.java
@@ -12,6 +12,10 @@
   private static final Duration FIRST_AVOIDANCE = Duration.ofMillis(500);
 
   private static final Duration MAX_AVOIDANCE = Duration.ofSeconds(4);
+
+  /** An upstream that asks for a longer rest has most likely sent a wrong value. */
+  private static final Duration MAX_REST = Duration.ofMinutes(2);
+
   private static final int MAX_DOUBLINGS = 3;
   private static final double ERROR_RATE_WEIGHT = 0.15;
 
@@ -110,6 +114,37 @@
     return state != null && state.avoidances > 0 && nowNanos - state.avoidUntilNanos < 0;
   }
 
+  /**
+   * Records that an upstream has turned a request away and wants none from this router for a time.
+   * Other than an upstream that is avoided, it gets none even if no other one is left.
+   *
+   * @param id the upstream
+   * @param rest the time that it asks for
+   * @param nowNanos monotonic time
+   * @return the time that it gets, which is bounded
+   */
+  public Duration recordRest(InstanceId id, Duration rest, long nowNanos) {
+    Duration granted = rest.compareTo(MAX_REST) > 0 ? MAX_REST : rest;
+    State state = states.computeIfAbsent(id, key -> new State());
+    state.restUntilNanos = nowNanos + granted.toNanos();
+    state.asksForRest = true;
+    return granted;
+  }
+
+  /**
+   * Returns how much longer an upstream wants no requests from this router.
+   *
+   * @param id the upstream
+   * @param nowNanos monotonic time
+   * @return the time, zero if it has not asked for any
+   */
+  public Duration remainingRest(InstanceId id, long nowNanos) {
+    State state = states.get(id);
+    return state == null || !state.asksForRest
+        ? Duration.ZERO
+        : Duration.ofNanos(Math.max(0, state.restUntilNanos - nowNanos));
+  }
+
   /**
    * Returns the ratio of failed exchanges.
    *
@@ -136,5 +171,7 @@
     private int brokenExchanges;
     private int avoidances;
     private long avoidUntilNanos = Long.MIN_VALUE;
+    private boolean asksForRest;
+    private long restUntilNanos;
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
@@ -111,6 +111,7 @@
    * @param notRun whether the upstream states that it did not run the request
    * @param idleTimeout how long the upstream keeps an idle connection, empty if not given
    * @param coldRemaining how much longer the upstream is cold, empty if not given
+   * @param rest how long the upstream wants no requests from this router, empty if not given
    * @param leaving whether the upstream states that it shuts down and takes no new requests
    */
   record ResponseMetadata(
@@ -119,5 +120,6 @@
       boolean notRun,
       Optional<Duration> idleTimeout,
       Optional<Duration> coldRemaining,
+      Optional<Duration> rest,
       boolean leaving) {}
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -175,7 +175,7 @@
       relay.start(
           newHead, route.kind() == RouteKind.STREAMING && upstreamStatus < FIRST_ERROR_STATUS);
     }
-    router.feedback().record(grant.instance(), upstreamStatus, newMetadata);
+    router.feedback().record(grant.instance(), newHead, newMetadata);
     if (!rejected && (!newMetadata.signed() || (resumed && upstreamStatus >= FIRST_ERROR_STATUS))) {
       trace.step("unusable_answer", "status=" + upstreamStatus, router.now());
       exchange.abandon();
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamFeedback.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamFeedback.java
@@ -2,7 +2,10 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
 import java.util.Set;
 import org.dandelionbeam.routing.UpstreamInstance;
 
@@ -15,8 +18,8 @@
   }
 
   /** Records the state that a response states, unless another upstream has responded. */
-  void record(UpstreamInstance upstream, int status, HttpDialect.ResponseMetadata metadata) {
-    if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+  void record(UpstreamInstance upstream, HttpResponse head, HttpDialect.ResponseMetadata metadata) {
+    if (head.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
       return;
     }
     metadata
@@ -25,6 +28,29 @@
     if (metadata.leaving()) {
       recordLeaving(upstream);
     }
+    if (head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+      recordRest(upstream, head, metadata);
+    }
+  }
+
+  private void recordRest(
+      UpstreamInstance upstream, HttpResponse head, HttpDialect.ResponseMetadata metadata) {
+    String requested = head.headers().get(HttpHeaderNames.RETRY_AFTER);
+    if (requested == null) {
+      return;
+    }
+    Duration granted =
+        metadata
+            .rest()
+            .map(rest -> router.fleet().health().recordRest(upstream.id(), rest, router.now()))
+            .orElse(Duration.ZERO);
+    router
+        .log()
+        .line("upstream_rests")
+        .with("upstream", upstream.id())
+        .with("requested_s", requested)
+        .with("granted_ms", granted.toMillis())
+        .write();
   }
 
   private void recordLeaving(UpstreamInstance upstream) {
--- a/library/src/main/java/org/dandelionbeam/scheduling/ScheduleRequest.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/ScheduleRequest.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.dandelionbeam.routing.UpstreamLoad;
 
@@ -49,11 +50,35 @@
    * @param running submissions that were granted and have not ended
    */
   record Sync(List<Long> waiting, List<Running> running) implements ScheduleRequest {
+    /** Waiting and running submissions in one message. */
+    private static final int MAX_ENTRIES = 30;
+
     /** Copies the lists. */
     public Sync {
       waiting = List.copyOf(waiting);
       running = List.copyOf(running);
     }
+
+    /**
+     * Creates messages of bounded length.
+     *
+     * @param waiting numbers of the waiting submissions
+     * @param running granted submissions that have not ended
+     * @return messages that together hold all of them
+     */
+    static List<Sync> split(List<Long> waiting, List<Running> running) {
+      List<Sync> parts = new ArrayList<>();
+      int longest = Math.max(waiting.size(), running.size());
+      for (int from = 0; from < longest; from += MAX_ENTRIES) {
+        parts.add(new Sync(part(waiting, from), part(running, from)));
+      }
+      return parts;
+    }
+
+    private static <T> List<T> part(List<T> entries, int from) {
+      int start = Math.min(entries.size(), from);
+      return entries.subList(start, Math.min(entries.size(), from + MAX_ENTRIES));
+    }
   }
 
   /**
--- a/library/src/main/java/org/dandelionbeam/scheduling/SchedulerClient.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/SchedulerClient.java
@@ -15,10 +15,10 @@
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.FleetMembers.Member;
 import org.dandelionbeam.routing.FleetState;
-import org.dandelionbeam.routing.PrefixCacheModel;
 import org.dandelionbeam.routing.RouterName;
 import org.dandelionbeam.routing.Ticket;
 import org.dandelionbeam.routing.UpstreamInstance;
+import org.dandelionbeam.scheduling.PendingSubmission.State;
 
 /**
  * Submits the requests of this router's callers to the schedulers of their upstreams.
@@ -30,17 +30,16 @@
   /** A lost message is repeated well before the scheduler is given up. */
   private static final Duration RESEND_DELAY = Duration.ofMillis(40);
 
-  /** Waiting and running submissions in one message. */
-  private static final int MAX_SYNC_ENTRIES = 30;
-
   private final FleetState fleet;
-  private final Map<Long, Pending> pending = new LinkedHashMap<>();
+  private final CandidateSelector candidates;
+  private final Map<Long, PendingSubmission> pending = new LinkedHashMap<>();
   private final Map<RouterName, SchedulerLink> links = new HashMap<>();
   private SchedulerAssignment assignment;
   private Set<RouterName> avoided = Set.of();
 
   private SchedulerClient(FleetState fleet) {
     this.fleet = requireNonNull(fleet, "fleet");
+    candidates = new CandidateSelector(fleet);
     assignment = SchedulerAssignment.of(List.of(fleet.members().self()));
   }
 
@@ -111,35 +110,42 @@
    * @return what has to be done
    */
   public List<Action> submit(Ticket ticket) {
-    Pending submission = new Pending(ticket);
+    PendingSubmission submission = new PendingSubmission(ticket);
     pending.put(ticket.number(), submission);
     List<Action> actions = new ArrayList<>();
     send(submission, actions);
     return actions;
   }
 
-  private void send(Pending submission, List<Action> actions) {
-    Ticket ticket = submission.ticket;
-    List<UpstreamInstance> usable = fleet.upstreams().usable(ticket.service());
-    List<UpstreamInstance> allowed =
-        usable.stream().filter(upstream -> !ticket.isExcluded(upstream.number())).toList();
-    if (allowed.isEmpty()) {
-      pending.remove(ticket.number());
-      actions.add(new Action.Decide(noUpstream(ticket)));
-      return;
+  private void send(PendingSubmission submission, List<Action> actions) {
+    CandidateSelector.Selection selection = candidates.select(submission.ticket);
+    if (selection instanceof CandidateSelector.Selection.Candidates selected) {
+      sendTo(selected, submission, actions);
+    } else if (selection instanceof CandidateSelector.Selection.None none) {
+      withdraw(submission, actions);
+      actions.add(
+          new Action.Decide(
+              new Decision.Refused(
+                  submission.ticket, Decision.RefusalReason.NO_UPSTREAM, none.retryAfter())));
     }
-    List<UpstreamInstance> healthy =
-        allowed.stream()
-            .filter(upstream -> !fleet.health().isAvoided(upstream.id(), fleet.nowNanos()))
-            .toList();
-    List<UpstreamInstance> candidates = healthy.isEmpty() ? allowed : healthy;
-    Set<Integer> excluded = new HashSet<>();
-    usable.forEach(upstream -> excluded.add(upstream.number()));
-    candidates.forEach(upstream -> excluded.remove(upstream.number()));
-    long hash =
-        ticket.prompt().parts().isEmpty() ? ticket.number() : ticket.prompt().affinityHash();
-    UpstreamInstance preferred = PrefixCacheModel.preferred(hash, candidates);
-    Member scheduler = assignment.schedulerOf(preferred, usable.size());
+  }
+
+  private void withdraw(PendingSubmission submission, List<Action> actions) {
+    pending.remove(submission.ticket.number());
+    if (submission.scheduler != null) {
+      actions.add(
+          new Action.Send(
+              submission.scheduler, new ScheduleRequest.Cancel(submission.ticket.number())));
+    }
+  }
+
+  private void sendTo(
+      CandidateSelector.Selection.Candidates selected,
+      PendingSubmission submission,
+      List<Action> actions) {
+    Ticket ticket = submission.ticket;
+    UpstreamInstance preferred = selected.preferred();
+    Member scheduler = assignment.schedulerOf(preferred, selected.usableCount());
     if (submission.scheduler != null && !submission.scheduler.equals(scheduler)) {
       actions.add(
           new Action.Send(submission.scheduler, new ScheduleRequest.Cancel(ticket.number())));
@@ -152,7 +158,7 @@
             ticket,
             fleet.members().self().domain(),
             preferred.number(),
-            excluded,
+            selected.excluded(),
             fleet.nowNanos());
     expectAnswer(submission.scheduler);
     actions.add(
@@ -160,11 +166,6 @@
             submission.scheduler, new ScheduleRequest.Submit(ticket.number(), message)));
   }
 
-  private static Decision.Refused noUpstream(Ticket ticket) {
-    return new Decision.Refused(
-        ticket, Decision.RefusalReason.NO_UPSTREAM, Decision.MIN_RETRY_AFTER);
-  }
-
   private void expectAnswer(Member scheduler) {
     if (!isSelf(scheduler)) {
       links
@@ -184,7 +185,7 @@
    * @return what has to be done
    */
   public List<Action> cancel(Ticket ticket) {
-    Pending submission = pending.remove(ticket.number());
+    PendingSubmission submission = pending.remove(ticket.number());
     if (submission == null) {
       return List.of();
     }
@@ -203,7 +204,7 @@
    * @return what has to be done
    */
   public List<Action> recordFirstOutput(Ticket ticket, Duration elapsed) {
-    Pending submission = pending.get(ticket.number());
+    PendingSubmission submission = pending.get(ticket.number());
     if (submission == null) {
       return List.of();
     }
@@ -222,7 +223,7 @@
    * @return what has to be done
    */
   public List<Action> recordEnd(Ticket ticket, Outcome outcome) {
-    Pending submission = pending.remove(ticket.number());
+    PendingSubmission submission = pending.remove(ticket.number());
     return submission == null
         ? List.of()
         : List.of(
@@ -250,7 +251,7 @@
    * @return what has to be done
    */
   public List<Action> receive(Member from, ScheduleReply reply) {
-    Pending submission = pending.get(reply.id());
+    PendingSubmission submission = pending.get(reply.id());
     if (submission == null || !submission.scheduler.name().equals(from.name())) {
       return returnUnexpectedGrant(from, reply, submission);
     }
@@ -276,7 +277,8 @@
   }
 
   /** Gives back a grant that is no longer needed, as the request ended or was sent elsewhere. */
-  private List<Action> returnUnexpectedGrant(Member from, ScheduleReply reply, Pending submission) {
+  private List<Action> returnUnexpectedGrant(
+      Member from, ScheduleReply reply, PendingSubmission submission) {
     boolean isGrant = reply instanceof ScheduleReply.Granted;
     boolean heldElsewhere = submission != null && submission.state == State.GRANTED;
     if (!isGrant || (heldElsewhere && submission.scheduler.name().equals(from.name()))) {
@@ -286,14 +288,17 @@
   }
 
   private void receiveGrant(
-      Pending submission, ScheduleReply.Granted granted, List<Action> actions) {
+      PendingSubmission submission, ScheduleReply.Granted granted, List<Action> actions) {
     if (submission.state == State.GRANTED) {
       return;
     }
     Optional<UpstreamInstance> upstream =
-        fleet.upstreams().find(granted.upstream()).filter(fleet.upstreams()::isUsable);
+        fleet
+            .upstreams()
+            .find(granted.upstream())
+            .filter(found -> fleet.upstreams().isUsable(found) && !candidates.rests(found));
     if (upstream.isEmpty()) {
-      // This router has read newer entries of the upstreams than the scheduler, or older ones.
+      // The scheduler knows older or newer entries, or not that the upstream rests.
       actions.add(
           new Action.Send(
               submission.scheduler, new ScheduleRequest.End(granted.id(), Outcome.ABANDONED)));
@@ -325,7 +330,7 @@
     if (anySilent) {
       refreshAssignment();
     }
-    for (Pending submission : List.copyOf(pending.values())) {
+    for (PendingSubmission submission : List.copyOf(pending.values())) {
       if (submission.state == State.GRANTED) {
         continue;
       }
@@ -345,7 +350,7 @@
   private void synchronize(long now, List<Action> actions) {
     Map<Member, List<Long>> waiting = new HashMap<>();
     Map<Member, List<ScheduleRequest.Running>> running = new HashMap<>();
-    for (Pending submission : pending.values()) {
+    for (PendingSubmission submission : pending.values()) {
       if (submission.state == State.WAITING) {
         waiting
             .computeIfAbsent(submission.scheduler, key -> new ArrayList<>())
@@ -363,35 +368,15 @@
       SchedulerLink link = links.computeIfAbsent(scheduler.name(), key -> new SchedulerLink());
       if (link.isSyncDue(now)) {
         link.recordSync(now, !isSelf(scheduler));
-        confirm(
-            scheduler,
-            waiting.getOrDefault(scheduler, List.of()),
-            running.getOrDefault(scheduler, List.of()),
-            actions);
+        ScheduleRequest.Sync.split(
+                waiting.getOrDefault(scheduler, List.of()),
+                running.getOrDefault(scheduler, List.of()))
+            .forEach(sync -> actions.add(new Action.Send(scheduler, sync)));
       }
     }
   }
 
-  /** Confirms submissions in messages of bounded length. */
-  private static void confirm(
-      Member scheduler,
-      List<Long> waiting,
-      List<ScheduleRequest.Running> running,
-      List<Action> actions) {
-    int longest = Math.max(waiting.size(), running.size());
-    for (int from = 0; from < longest; from += MAX_SYNC_ENTRIES) {
-      actions.add(
-          new Action.Send(
-              scheduler, new ScheduleRequest.Sync(part(waiting, from), part(running, from))));
-    }
-  }
-
-  private static <T> List<T> part(List<T> entries, int from) {
-    int start = Math.min(entries.size(), from);
-    return entries.subList(start, Math.min(entries.size(), from + MAX_SYNC_ENTRIES));
-  }
-
-  private Member currentScheduler(Pending submission) {
+  private Member currentScheduler(PendingSubmission submission) {
     UpstreamInstance upstream = submission.grant.orElseThrow().instance();
     int count = fleet.upstreams().usable(upstream.service()).size();
     return assignment.schedulerOf(upstream, count);
@@ -405,31 +390,4 @@
   public boolean hasSubmissions() {
     return !pending.isEmpty();
   }
-
-  /** State of a submission. */
-  private enum State {
-    SUBMITTED,
-    WAITING,
-    GRANTED
-  }
-
-  /** A request that was submitted and has not ended. */
-  private static final class Pending {
-    private final Ticket ticket;
-    private State state = State.SUBMITTED;
-    private Member scheduler;
-    private long sentNanos;
-    private Optional<Decision.Granted> grant = Optional.empty();
-    private boolean outputSeen;
-
-    Pending(Ticket ticket) {
-      this.ticket = ticket;
-    }
-
-    ScheduleRequest.Running running() {
-      Decision.Granted granted = grant.orElseThrow();
-      return new ScheduleRequest.Running(
-          ticket.number(), granted.instance().number(), granted.addedLoad(), outputSeen);
-    }
-  }
 }
--- a/library/src/test/java/org/dandelionbeam/routing/FleetStateTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/FleetStateTest.java
@@ -81,6 +81,22 @@
     assertTrue(health.isAvoided(ID, MS));
   }
 
+  @DataProvider
+  public Object[][] rests() {
+    return new Object[][] {{1_500L, 1_500L}, {120_000L, 120_000L}, {7_200_000L, 120_000L}};
+  }
+
+  // Guards against an upstream that rests for hours, and against a rest that a success ends.
+  @Test(dataProvider = "rests")
+  public void restLastsAsLongAsAskedForWithinABound(long askedMs, long grantedMs) {
+    UpstreamHealth health = UpstreamHealth.create();
+    health.recordRest(ID, Duration.ofMillis(askedMs), 0);
+    health.recordResponse(ID, true);
+
+    assertEquals(health.remainingRest(ID, 0).toMillis(), grantedMs);
+    assertEquals(health.remainingRest(ID, grantedMs * MS), Duration.ZERO);
+  }
+
   @Test
   public void loadIsSummedByUpstream() {
     LoadTracker loads = LoadTracker.create();
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/PlainDialect.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/PlainDialect.java
@@ -21,6 +21,7 @@
         false,
         Optional.empty(),
         Optional.empty(),
+        Optional.empty(),
         false);
   }
 
