--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -256,7 +256,7 @@
       connection.sendEnd();
       return;
     }
-    FullHttpResponse response = relay.toFullResponse();
+    FullHttpResponse response = relay.toFullResponse(framing);
     if (status >= FIRST_SERVER_ERROR_STATUS && mayRunAgain()) {
       storeUpstreamError(response);
       resubmit("upstream responded with status " + status);
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/ResponseRelay.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/ResponseRelay.java
@@ -149,15 +149,24 @@
     }
   }
 
-  /** Returns the buffered response, which the caller of this method must send or release. */
-  FullHttpResponse toFullResponse() {
+  /**
+   * Returns the buffered response, which the caller of this method must send or release.
+   *
+   * @param framing how the response of the upstream ended
+   */
+  FullHttpResponse toFullResponse(BodyFraming framing) {
     ByteBuf content = buffered == null ? Unpooled.EMPTY_BUFFER : buffered;
     buffered = null;
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), content);
     response.headers().set(dialect.callerHeaders(head));
     response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-    HttpUtil.setContentLength(response, content.readableBytes());
+    if (framing != BodyFraming.NONE) {
+      HttpUtil.setContentLength(response, content.readableBytes());
+    } else if (HttpUtil.isContentLengthSet(head)) {
+      // The length that a body would have, which the caller gets unchanged.
+      HttpUtil.setContentLength(response, HttpUtil.getContentLength(head));
+    }
     return response;
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamConnection.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamConnection.java
@@ -49,13 +49,26 @@
     return !unusable && channel.isActive() && idleTimeNanos < idleTimeoutNanos;
   }
 
-  void assign(UpstreamExchange newExchange) {
+  /** Starts an exchange, whose request is sent next. */
+  void start(UpstreamExchange newExchange, boolean isHeadRequest) {
     exchange = newExchange;
+    decoder().expectResponse(isHeadRequest);
   }
 
-  /** Ends an exchange whose response is complete, and returns the connection to the pool. */
-  void finishExchange() {
+  private UpstreamResponseDecoder decoder() {
+    return channel.pipeline().get(UpstreamResponseDecoder.class);
+  }
+
+  /** Records that the response is complete; the request may still be in the course of writing. */
+  void recordResponseEnd() {
     exchange = null;
+    if (!decoder().expectNothing()) {
+      close();
+    }
+  }
+
+  /** Returns the connection to the pool after the end of an exchange. */
+  void returnToPool() {
     idleSinceNanos = System.nanoTime();
     channel.config().setAutoRead(true);
     pool.release(this);
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamConnectionPool.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamConnectionPool.java
@@ -12,7 +12,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -121,7 +120,7 @@
       channel
           .pipeline()
           .addLast(new HttpRequestEncoder())
-          .addLast(new HttpResponseDecoder(config))
+          .addLast(new UpstreamResponseDecoder(config))
           .addLast(new UpstreamConnection());
     }
   }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamExchange.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamExchange.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -40,6 +41,7 @@
   private final FullHttpRequest request;
   private final String requestId;
   private final Listener listener;
+  private final boolean isHeadRequest;
   private UpstreamConnection connection;
   private ChannelFuture write;
   private boolean ended;
@@ -54,6 +56,7 @@
     this.request = requireNonNull(request, "request");
     this.requestId = requireNonNull(requestId, "requestId");
     this.listener = requireNonNull(listener, "listener");
+    isHeadRequest = request.method().equals(HttpMethod.HEAD);
   }
 
   boolean hasEnded() {
@@ -62,7 +65,7 @@
 
   void connected(UpstreamConnection newConnection) {
     connection = newConnection;
-    connection.assign(this);
+    connection.start(this, isHeadRequest);
     write = connection.channel().writeAndFlush(request);
   }
 
@@ -115,7 +118,7 @@
       return;
     }
     headSeen = true;
-    framing = BodyFraming.of(head);
+    framing = BodyFraming.of(head, isHeadRequest);
     keepAlive = HttpUtil.isKeepAlive(head) && framing != BodyFraming.CLOSE;
     metadata.idleTimeout().ifPresent(connection::idleTimeout);
     listener.head(head, metadata);
@@ -146,14 +149,12 @@
   private void finish() {
     ended = true;
     UpstreamConnection finished = connection;
+    finished.recordResponseEnd();
     if (!keepAlive) {
       finished.close();
-    } else if (write.isDone()) {
-      finished.finishExchange();
     } else {
-      // The upstream responded early and still reads the rest of the request.
-      finished.assign(null);
-      write.addListener(done -> finished.finishExchange());
+      // The upstream may have responded early and still read the rest of the request.
+      write.addListener(done -> finished.returnToPool());
     }
     listener.complete(framing);
   }
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/ResponseEndTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/ResponseEndTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
@@ -18,6 +19,9 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.dandelionbeam.base.Verdict;
+import org.dandelionbeam.routing.Endpoint;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** When a response of an upstream counts as complete, by the bytes and events of its connection. */
@@ -60,17 +64,46 @@
     }
   }
 
-  private final RecordingListener listener = new RecordingListener();
+  private RecordingListener listener;
 
-  private EmbeddedChannel startExchange(ChannelHandler... first) {
+  @BeforeMethod
+  public void createListener() {
+    listener = new RecordingListener();
+  }
+
+  /** What happens to the connection after the bytes have arrived. */
+  private enum Ending {
+    OPEN {
+      @Override
+      void apply(EmbeddedChannel channel) {}
+    },
+    CLOSED {
+      @Override
+      void apply(EmbeddedChannel channel) {
+        channel.close();
+      }
+    },
+    RESET {
+      @Override
+      void apply(EmbeddedChannel channel) {
+        channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+        channel.close();
+      }
+    };
+
+    abstract void apply(EmbeddedChannel channel);
+  }
+
+  private EmbeddedChannel startExchange(HttpMethod method, ChannelHandler... first) {
     EmbeddedChannel channel = new EmbeddedChannel();
     channel.pipeline().addLast(first).addLast(new UpstreamConnectionPool.Pipeline());
+    UpstreamConnectionPool pool =
+        new UpstreamConnectionPool(channel.eventLoop(), UnpooledByteBufAllocator.DEFAULT);
+    UpstreamConnection connection = channel.pipeline().get(UpstreamConnection.class);
+    connection.attachTo(pool, new Endpoint("10.0.0.1", 80));
     FullHttpRequest request =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.EMPTY_BUFFER);
-    UpstreamExchange exchange =
-        new UpstreamExchange(new PlainDialect(), request, REQUEST_ID, listener);
-    exchange.connected(channel.pipeline().get(UpstreamConnection.class));
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/", Unpooled.EMPTY_BUFFER);
+    new UpstreamExchange(new PlainDialect(), request, REQUEST_ID, listener).connected(connection);
     return channel;
   }
 
@@ -78,27 +111,98 @@
     channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
   }
 
-  // Guards against a response that looks complete as the connection closed on a failed write.
+  @DataProvider
+  public Object[][] endings() {
+    String ok = "HTTP/1.1 200 OK\r\n";
+    String four = ok + "Content-Length: 4\r\n\r\n";
+    String chunked = ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n";
+    String keepAlive10 = "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 4\r\n\r\n";
+    String failed = "failed MAY_HAVE_RUN";
+    return new Object[][] {
+      // Bytes, what the connection does then, outcome, body, whether the connection stays open.
+      {four + "body", Ending.OPEN, "complete", "body", true},
+      {four + "body", Ending.CLOSED, "complete", "body", false},
+      {four + "bo", Ending.OPEN, "open", "bo", true},
+      {four + "bo", Ending.CLOSED, failed, "bo", false},
+      {four + "bo", Ending.RESET, failed, "bo", false},
+      {four + "bodyXX", Ending.OPEN, "complete", "body", false},
+      {four + "body" + four + "more", Ending.OPEN, "complete", "body", false},
+      {ok + "Content-Length: 0\r\n\r\n", Ending.OPEN, "complete", "", true},
+      {ok + "Content-Length: -2\r\n\r\nbody", Ending.OPEN, failed, "", false},
+      {ok + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody", Ending.OPEN, failed, "", false},
+      {
+        ok + "Connection: close\r\nContent-Length: 4\r\n\r\nbody",
+        Ending.OPEN,
+        "complete",
+        "body",
+        false
+      },
+      {chunked + "0\r\n\r\n", Ending.OPEN, "complete", "body", true},
+      {chunked + "0\r\nTrailer-A: b\r\n\r\n", Ending.OPEN, "complete", "body", true},
+      {chunked + "0\r\n", Ending.CLOSED, failed, "body", false},
+      {chunked, Ending.CLOSED, failed, "body", false},
+      {chunked + "9\r\nbo", Ending.CLOSED, failed, "bodybo", false},
+      {chunked + "9\r\nbo", Ending.RESET, failed, "bodybo", false},
+      {chunked + "zz\r\n", Ending.OPEN, failed, "body", false},
+      {ok + "\r\nbody", Ending.OPEN, "open", "body", true},
+      {ok + "\r\nbody", Ending.CLOSED, "complete", "body", false},
+      {ok + "\r\nbody", Ending.RESET, failed, "body", false},
+      {"HTTP/1.0 200 OK\r\n\r\nbody", Ending.CLOSED, "complete", "body", false},
+      {"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", Ending.OPEN, "complete", "body", false},
+      {keepAlive10 + "body", Ending.OPEN, "complete", "body", true},
+      {"HTTP/1.1 204 None\r\n\r\n", Ending.OPEN, "complete", "", true},
+      {"HTTP/1.1 304 Same\r\nContent-Length: 4\r\n\r\n", Ending.OPEN, "complete", "", true},
+      {"HTTP/1.1 100 Go on\r\n\r\n", Ending.OPEN, "open", "", true},
+      {"HTTP/1.1 100 Go on\r\n\r\n", Ending.CLOSED, failed, "", false},
+      {"HTTP/1.1 100 Go on\r\n\r\n" + four + "body", Ending.OPEN, "complete", "body", true},
+      {
+        ok + "X-Request-Id: a0\r\nContent-Length: 2\r\n\r\nno" + four + "body",
+        Ending.OPEN,
+        "complete",
+        "body",
+        true
+      },
+      {"rubbish\r\n\r\n", Ending.OPEN, failed, "", false},
+      {"HTTP/1.1 2", Ending.CLOSED, failed, "", false},
+      {"", Ending.CLOSED, failed, "", false},
+      {"", Ending.RESET, failed, "", false},
+    };
+  }
+
+  // Guards against a broken response that looks complete, and against a connection that is used
+  // again although bytes of an earlier response may follow.
+  @Test(dataProvider = "endings")
+  public void responseIsCompleteOnlyIfItsFramingSaysSo(
+      String bytes, Ending ending, String outcome, String body, boolean staysOpen) {
+    EmbeddedChannel channel = startExchange(HttpMethod.POST);
+    receive(channel, bytes);
+
+    ending.apply(channel);
+
+    assertEquals(listener.outcome, outcome);
+    assertEquals(listener.body.toString(), body);
+    assertEquals(channel.isActive(), staysOpen);
+  }
+
+  // Guards against a router that waits for the body of a response that has none.
   @Test
-  public void unframedResponseIsBrokenIfTheRequestCouldNotBeWritten() {
-    EmbeddedChannel channel = startExchange(new UnsentWrites());
-    receive(channel, UNFRAMED);
+  public void responseToHeadEndsWithItsHeaders() {
+    EmbeddedChannel channel = startExchange(HttpMethod.HEAD);
 
-    channel.close();
+    receive(channel, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
 
-    assertEquals(listener.outcome, "failed MAY_HAVE_RUN");
+    assertEquals(listener.outcome, "complete");
+    assertEquals(channel.isActive(), true);
   }
 
-  // Guards against a response that looks complete as a reset closed the connection.
+  // Guards against a response that looks complete as the connection closed on a failed write.
   @Test
-  public void unframedResponseIsBrokenIfTheConnectionWasReset() {
-    EmbeddedChannel channel = startExchange();
+  public void unframedResponseIsBrokenIfTheRequestCouldNotBeWritten() {
+    EmbeddedChannel channel = startExchange(HttpMethod.POST, new UnsentWrites());
     receive(channel, UNFRAMED);
 
-    channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
     channel.close();
 
     assertEquals(listener.outcome, "failed MAY_HAVE_RUN");
-    assertEquals(listener.body.toString(), "body");
   }
 }
