--- a/library/src/test/java/org/dandelionbeam/routing/wiring/ResponseEndTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/ResponseEndTest.java
@@ -18,6 +18,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.stream.Stream;
 import org.dandelionbeam.base.Verdict;
 import org.dandelionbeam.routing.Endpoint;
 import org.testng.annotations.BeforeMethod;
@@ -27,7 +29,9 @@
 /** When a response of an upstream counts as complete, by the bytes and events of its connection. */
 public class ResponseEndTest {
   private static final String REQUEST_ID = "a1";
-  private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nbody";
+  private static final String OK = "HTTP/1.1 200 OK\r\n";
+  private static final String UNFRAMED = OK + "\r\nbody";
+  private static final String FAILED = "failed MAY_HAVE_RUN";
 
   /** Notes the outcome of an exchange. */
   private static final class RecordingListener implements UpstreamExchange.Listener {
@@ -111,64 +115,80 @@
     channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
   }
 
-  @DataProvider
-  public Object[][] endings() {
-    String ok = "HTTP/1.1 200 OK\r\n";
-    String four = ok + "Content-Length: 4\r\n\r\n";
-    String chunked = ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n";
-    String keepAlive10 = "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 4\r\n\r\n";
-    String failed = "failed MAY_HAVE_RUN";
+  // Rows: bytes, what the connection does then, outcome, body, whether the connection stays open.
+
+  private static Object[][] endingsOfKnownLength() {
+    String four = OK + "Content-Length: 4\r\n\r\n";
     return new Object[][] {
-      // Bytes, what the connection does then, outcome, body, whether the connection stays open.
       {four + "body", Ending.OPEN, "complete", "body", true},
       {four + "body", Ending.CLOSED, "complete", "body", false},
       {four + "bo", Ending.OPEN, "open", "bo", true},
-      {four + "bo", Ending.CLOSED, failed, "bo", false},
-      {four + "bo", Ending.RESET, failed, "bo", false},
+      {four + "bo", Ending.CLOSED, FAILED, "bo", false},
+      {four + "bo", Ending.RESET, FAILED, "bo", false},
       {four + "bodyXX", Ending.OPEN, "complete", "body", false},
       {four + "body" + four + "more", Ending.OPEN, "complete", "body", false},
-      {ok + "Content-Length: 0\r\n\r\n", Ending.OPEN, "complete", "", true},
-      {ok + "Content-Length: -2\r\n\r\nbody", Ending.OPEN, failed, "", false},
-      {ok + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody", Ending.OPEN, failed, "", false},
+      {OK + "Content-Length: 0\r\n\r\n", Ending.OPEN, "complete", "", true},
+      {OK + "Content-Length: -2\r\n\r\nbody", Ending.OPEN, FAILED, "", false},
+      {OK + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody", Ending.OPEN, FAILED, "", false},
       {
-        ok + "Connection: close\r\nContent-Length: 4\r\n\r\nbody",
+        OK + "Connection: close\r\nContent-Length: 4\r\n\r\nbody",
         Ending.OPEN,
         "complete",
         "body",
         false
       },
+    };
+  }
+
+  private static Object[][] endingsOfChunks() {
+    String chunked = OK + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n";
+    return new Object[][] {
       {chunked + "0\r\n\r\n", Ending.OPEN, "complete", "body", true},
       {chunked + "0\r\nTrailer-A: b\r\n\r\n", Ending.OPEN, "complete", "body", true},
-      {chunked + "0\r\n", Ending.CLOSED, failed, "body", false},
-      {chunked, Ending.CLOSED, failed, "body", false},
-      {chunked + "9\r\nbo", Ending.CLOSED, failed, "bodybo", false},
-      {chunked + "9\r\nbo", Ending.RESET, failed, "bodybo", false},
-      {chunked + "zz\r\n", Ending.OPEN, failed, "body", false},
-      {ok + "\r\nbody", Ending.OPEN, "open", "body", true},
-      {ok + "\r\nbody", Ending.CLOSED, "complete", "body", false},
-      {ok + "\r\nbody", Ending.RESET, failed, "body", false},
+      {chunked + "0\r\n", Ending.CLOSED, FAILED, "body", false},
+      {chunked, Ending.CLOSED, FAILED, "body", false},
+      {chunked + "9\r\nbo", Ending.CLOSED, FAILED, "bodybo", false},
+      {chunked + "9\r\nbo", Ending.RESET, FAILED, "bodybo", false},
+      {chunked + "zz\r\n", Ending.OPEN, FAILED, "body", false},
+    };
+  }
+
+  private static Object[][] otherEndings() {
+    String four = OK + "Content-Length: 4\r\n\r\n";
+    String keepAlive10 = "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 4\r\n\r\n";
+    return new Object[][] {
+      {OK + "\r\nbody", Ending.OPEN, "open", "body", true},
+      {OK + "\r\nbody", Ending.CLOSED, "complete", "body", false},
+      {OK + "\r\nbody", Ending.RESET, FAILED, "body", false},
       {"HTTP/1.0 200 OK\r\n\r\nbody", Ending.CLOSED, "complete", "body", false},
       {"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", Ending.OPEN, "complete", "body", false},
       {keepAlive10 + "body", Ending.OPEN, "complete", "body", true},
       {"HTTP/1.1 204 None\r\n\r\n", Ending.OPEN, "complete", "", true},
       {"HTTP/1.1 304 Same\r\nContent-Length: 4\r\n\r\n", Ending.OPEN, "complete", "", true},
       {"HTTP/1.1 100 Go on\r\n\r\n", Ending.OPEN, "open", "", true},
-      {"HTTP/1.1 100 Go on\r\n\r\n", Ending.CLOSED, failed, "", false},
+      {"HTTP/1.1 100 Go on\r\n\r\n", Ending.CLOSED, FAILED, "", false},
       {"HTTP/1.1 100 Go on\r\n\r\n" + four + "body", Ending.OPEN, "complete", "body", true},
       {
-        ok + "X-Request-Id: a0\r\nContent-Length: 2\r\n\r\nno" + four + "body",
+        OK + "X-Request-Id: a0\r\nContent-Length: 2\r\n\r\nno" + four + "body",
         Ending.OPEN,
         "complete",
         "body",
         true
       },
-      {"rubbish\r\n\r\n", Ending.OPEN, failed, "", false},
-      {"HTTP/1.1 2", Ending.CLOSED, failed, "", false},
-      {"", Ending.CLOSED, failed, "", false},
-      {"", Ending.RESET, failed, "", false},
+      {"rubbish\r\n\r\n", Ending.OPEN, FAILED, "", false},
+      {"HTTP/1.1 2", Ending.CLOSED, FAILED, "", false},
+      {"", Ending.CLOSED, FAILED, "", false},
+      {"", Ending.RESET, FAILED, "", false},
     };
   }
 
+  @DataProvider
+  public Object[][] endings() {
+    return Stream.of(endingsOfKnownLength(), endingsOfChunks(), otherEndings())
+        .flatMap(Arrays::stream)
+        .toArray(Object[][]::new);
+  }
+
   // Guards against a broken response that looks complete, and against a connection that is used
   // again although bytes of an earlier response may follow.
   @Test(dataProvider = "endings")
@@ -203,6 +223,6 @@
 
     channel.close();
 
-    assertEquals(listener.outcome, "failed MAY_HAVE_RUN");
+    assertEquals(listener.outcome, FAILED);
   }
 }
