--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
@@ -163,7 +163,8 @@
       body = null;
       keepAlive = HttpUtil.isKeepAlive(request);
       currentRequest = new RequestTask(router, this, request, completeBody);
-      currentRequest.start();
+      // Runs after this read loop, which notices if the caller has already closed the connection.
+      router.loop().execute(currentRequest::start);
     }
   }
 
@@ -270,6 +271,11 @@
     ctx.close();
   }
 
+  /** Tells whether the caller has not closed the connection, as far as that was read. */
+  boolean isOpen() {
+    return ctx.channel().isActive();
+  }
+
   boolean isWritable() {
     return ctx.channel().isWritable();
   }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -4,12 +4,14 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -54,6 +56,7 @@
    */
   private static final Duration KEEP_IDLE_WHILE_DRAINING = Duration.ofMillis(2_200);
 
+  private static final int MAX_READS_PER_LOOP = 16;
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final int WRITE_LOW_BYTES = 32 << 10;
   private static final int WRITE_HIGH_BYTES = 128 << 10;
@@ -110,6 +113,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, readToTheEnd())
             .childOption(
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
                 new WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
@@ -129,6 +133,13 @@
     scheduleEvery(SWEEP_INTERVAL, this::sweep);
   }
 
+  /** Lets a read loop go on until nothing is left, so that it notices the end of the input too. */
+  private static RecvByteBufAllocator readToTheEnd() {
+    return new AdaptiveRecvByteBufAllocator()
+        .respectMaybeMoreData(false)
+        .maxMessagesPerRead(MAX_READS_PER_LOOP);
+  }
+
   private void report() {
     context.advanceTime();
     context.fleet().members().serving(isReady());
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -73,7 +73,11 @@
     relay = new ResponseRelay(connection, router.dialect());
   }
 
+  /** Starts the request, unless its caller has left before it was read. */
   void start() {
+    if (ended || !connection.isOpen()) {
+      return;
+    }
     long now = router.advanceTime();
     try {
       metadata = router.dialect().readRequest(head);
