--- a/library/src/main/java/org/dandelionbeam/membership/FailureDetector.java
+++ b/library/src/main/java/org/dandelionbeam/membership/FailureDetector.java
@@ -16,7 +16,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.dandelionbeam.base.NodeId;
-import org.dandelionbeam.membership.Gossip.Rumour;
+import org.dandelionbeam.membership.Gossip.MemberUpdate;
 
 /**
  * Failure detector in the manner of SWIM, with direct and indirect probes, suspicion and
@@ -39,7 +39,7 @@
 
   private final NodeId self;
   private final RandomGenerator random;
-  private final RumourQueue rumours = new RumourQueue();
+  private final MemberUpdateQueue updates = new MemberUpdateQueue();
   private final Map<NodeId, Peer> peers = new HashMap<>();
   private final Map<Integer, RelayedProbe> relayedProbes = new HashMap<>();
   private final List<NodeId> probeOrder = new ArrayList<>();
@@ -91,7 +91,7 @@
     suspects.retainAll(listed);
     unresponsive.retainAll(listed);
     probeOrder.retainAll(listed);
-    rumours.retain(listed, self);
+    updates.retain(listed, self);
   }
 
   /**
@@ -179,10 +179,10 @@
   }
 
   /** Returns what is suspected of a member, so that the member can refute it. */
-  private List<Rumour> suspicion(NodeId target) {
+  private List<MemberUpdate> suspicion(NodeId target) {
     return Optional.ofNullable(peers.get(target))
         .filter(peer -> peer.state != State.ALIVE)
-        .map(peer -> new Rumour(target.name(), peer.state.ordinal(), peer.incarnation))
+        .map(peer -> new MemberUpdate(target.name(), peer.state.ordinal(), peer.incarnation))
         .map(List::of)
         .orElse(List.of());
   }
@@ -208,7 +208,7 @@
     unresponsive.add(target);
     if (!isCutOff() && peer.state == State.ALIVE) {
       setState(target, State.SUSPECT, peer.incarnation, nowNanos);
-      rumours.add(target, State.SUSPECT, peer.incarnation);
+      updates.add(target, State.SUSPECT, peer.incarnation);
     }
   }
 
@@ -220,7 +220,7 @@
       Peer peer = peers.get(id);
       if (nowNanos - peer.stateSinceNanos >= SUSPICION_TIMEOUT_NANOS * (1 + localHealthPenalty)) {
         setState(id, State.DEAD, peer.incarnation, nowNanos);
-        rumours.add(id, State.DEAD, peer.incarnation);
+        updates.add(id, State.DEAD, peer.incarnation);
       }
     }
   }
@@ -281,22 +281,22 @@
   }
 
   /**
-   * Applies a rumour of a member; a suspicion of this node is refuted.
+   * Applies what another node says of a member; a suspicion of this node is refuted.
    *
-   * @param rumour the rumour
+   * @param update the update
    * @param nowNanos monotonic time in nanoseconds
    */
-  public void onRumour(Rumour rumour, long nowNanos) {
-    NodeId id = NodeId.of(rumour.node());
-    State state = State.of(rumour.state());
+  public void onUpdate(MemberUpdate update, long nowNanos) {
+    NodeId id = NodeId.of(update.node());
+    State state = State.of(update.state());
     if (id.equals(self)) {
-      refute(state, rumour.incarnation());
+      refute(state, update.incarnation());
       return;
     }
     Peer peer = peers.get(id);
-    if (peer != null && peer.isReplacedBy(state, rumour.incarnation())) {
-      setState(id, state, rumour.incarnation(), nowNanos);
-      rumours.add(id, state, rumour.incarnation());
+    if (peer != null && peer.isReplacedBy(state, update.incarnation())) {
+      setState(id, state, update.incarnation(), nowNanos);
+      updates.add(id, state, update.incarnation());
     }
   }
 
@@ -307,7 +307,7 @@
   private void refute(State state, long suspected) {
     if (state != State.ALIVE) {
       incarnation = Math.max(incarnation, suspected + 1);
-      rumours.add(self, State.ALIVE, incarnation);
+      updates.add(self, State.ALIVE, incarnation);
     }
   }
 
@@ -403,12 +403,12 @@
   }
 
   /**
-   * Returns rumours to attach to a message and counts each as sent once.
+   * Returns updates to attach to a message and counts each as sent once.
    *
-   * @return the rumours, limited in number
+   * @return the updates, limited in number
    */
-  public List<Rumour> nextRumours() {
-    return rumours.nextRumours(peers.size() + 1);
+  public List<MemberUpdate> nextUpdates() {
+    return updates.nextUpdates(peers.size() + 1);
   }
 
   /** State of a member as this node believes it. */
@@ -437,7 +437,7 @@
      * @param suspicion what the member is suspected of, empty if nothing
      * @return the message
      */
-    Probe make(int sequence, List<Rumour> suspicion);
+    Probe make(int sequence, List<MemberUpdate> suspicion);
   }
 
   /** Creates requests for indirect probes. */
--- a/library/src/main/java/org/dandelionbeam/membership/Gossip.java
+++ b/library/src/main/java/org/dandelionbeam/membership/Gossip.java
@@ -5,15 +5,15 @@
 /**
  * News of members and failure domains that is piggybacked on other messages, limited in number.
  *
- * @param rumours states of members
+ * @param updates states of members
  * @param marks marks of failure domains
  */
-public record Gossip(List<Rumour> rumours, List<DomainMark> marks) {
+public record Gossip(List<MemberUpdate> updates, List<DomainMark> marks) {
   private static final Gossip NONE = new Gossip(List.of(), List.of());
 
   /** Copies the lists. */
   public Gossip {
-    rumours = List.copyOf(rumours);
+    updates = List.copyOf(updates);
     marks = List.copyOf(marks);
   }
 
@@ -46,5 +46,5 @@
    * @param incarnation incarnation of the member that the state is about; the member raises it to
    *     refute a suspicion
    */
-  public record Rumour(String node, int state, long incarnation) {}
+  public record MemberUpdate(String node, int state, long incarnation) {}
 }
--- a/library/src/main/java/org/dandelionbeam/membership/RumourQueue.java
+++ b/library/src/main/java/org/dandelionbeam/membership/MemberUpdateQueue.java
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.Set;
 import org.dandelionbeam.base.NodeId;
-import org.dandelionbeam.membership.Gossip.Rumour;
+import org.dandelionbeam.membership.Gossip.MemberUpdate;
 
 /**
- * Rumours that still have to be sent; each is sent a number of times that grows with the logarithm
- * of the fleet size.
+ * Updates of members that still have to be sent; each is sent a number of times that grows with the
+ * logarithm of the fleet size.
  */
-final class RumourQueue {
+final class MemberUpdateQueue {
   private static final int MAX_RUMOURS_PER_MESSAGE = 4;
   private static final int MAX_WAITING = 256;
   private static final int SPREAD_FACTOR = 4;
@@ -24,33 +24,33 @@
     if (waiting.size() >= MAX_WAITING && !waiting.containsKey(node)) {
       waiting.remove(waiting.keySet().iterator().next());
     }
-    waiting.put(node, new Entry(new Rumour(node.name(), state.ordinal(), incarnation), 0));
+    waiting.put(node, new Entry(new MemberUpdate(node.name(), state.ordinal(), incarnation), 0));
   }
 
   void retain(Set<NodeId> members, NodeId self) {
     waiting.keySet().removeIf(id -> !members.contains(id) && !id.equals(self));
   }
 
-  List<Rumour> nextRumours(int fleetSize) {
+  List<MemberUpdate> nextUpdates(int fleetSize) {
     if (waiting.isEmpty()) {
       return List.of();
     }
     int maxSends = SPREAD_FACTOR * (Integer.SIZE - Integer.numberOfLeadingZeros(fleetSize));
     List<Map.Entry<NodeId, Entry>> leastSentFirst = new ArrayList<>(waiting.entrySet());
     leastSentFirst.sort(Comparator.comparingInt(entry -> entry.getValue().sent));
-    List<Rumour> rumours = new ArrayList<>();
+    List<MemberUpdate> updates = new ArrayList<>();
     for (Map.Entry<NodeId, Entry> entry :
         leastSentFirst.subList(0, Math.min(MAX_RUMOURS_PER_MESSAGE, leastSentFirst.size()))) {
-      Entry sent = new Entry(entry.getValue().rumour, entry.getValue().sent + 1);
-      rumours.add(sent.rumour);
+      Entry sent = new Entry(entry.getValue().update, entry.getValue().sent + 1);
+      updates.add(sent.update);
       if (sent.sent >= maxSends) {
         waiting.remove(entry.getKey());
       } else {
         waiting.put(entry.getKey(), sent);
       }
     }
-    return rumours;
+    return updates;
   }
 
-  private record Entry(Rumour rumour, int sent) {}
+  private record Entry(MemberUpdate update, int sent) {}
 }
--- a/library/src/main/java/org/dandelionbeam/membership/Membership.java
+++ b/library/src/main/java/org/dandelionbeam/membership/Membership.java
@@ -19,7 +19,7 @@
 import org.dandelionbeam.config.Configuration;
 import org.dandelionbeam.config.Service;
 import org.dandelionbeam.membership.Departure.Reason;
-import org.dandelionbeam.membership.Gossip.Rumour;
+import org.dandelionbeam.membership.Gossip.MemberUpdate;
 import org.dandelionbeam.peer.PeerMessage;
 
 /**
@@ -337,7 +337,7 @@
 
   private void handleGossip(
       NodeId from, long epoch, Gossip gossip, List<OutgoingMessage> out, long nowNanos) {
-    gossip.rumours().forEach(rumour -> detector.onRumour(rumour, nowNanos));
+    gossip.updates().forEach(update -> detector.onUpdate(update, nowNanos));
     mergeMarks(gossip.marks(), nowNanos);
     if (epoch > roster().revision()
         && nowNanos - lastRosterRequestNanos >= ROSTER_REQUEST_INTERVAL_NANOS) {
@@ -350,16 +350,16 @@
     return gossip(List.of());
   }
 
-  private Gossip gossip(List<Rumour> first) {
-    List<Rumour> rumours = detector.nextRumours();
+  private Gossip gossip(List<MemberUpdate> first) {
+    List<MemberUpdate> updates = detector.nextUpdates();
     if (!first.isEmpty()) {
-      rumours = new ArrayList<>(rumours);
-      rumours.addAll(first);
+      updates = new ArrayList<>(updates);
+      updates.addAll(first);
     }
-    return new Gossip(rumours, marks.nextMarks());
+    return new Gossip(updates, marks.nextMarks());
   }
 
-  private Probe probe(int sequence, List<Rumour> suspicion) {
+  private Probe probe(int sequence, List<MemberUpdate> suspicion) {
     return new Probe(roster().revision(), sequence, marks.digest(), gossip(suspicion));
   }
 
--- a/library/src/test/java/org/dandelionbeam/membership/FailureDetectorTest.java
+++ b/library/src/test/java/org/dandelionbeam/membership/FailureDetectorTest.java
@@ -10,7 +10,7 @@
 import org.dandelionbeam.base.FailureDomain;
 import org.dandelionbeam.base.NodeId;
 import org.dandelionbeam.membership.FailureDetector.State;
-import org.dandelionbeam.membership.Gossip.Rumour;
+import org.dandelionbeam.membership.Gossip.MemberUpdate;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -24,7 +24,7 @@
     return new Member(NodeId.of("n" + number), host, 1, 2, FailureDomain.of("d"), 1, false);
   }
 
-  private static Probe probe(int sequence, List<Rumour> suspicion) {
+  private static Probe probe(int sequence, List<MemberUpdate> suspicion) {
     return new Probe(1, sequence, 0, new Gossip(suspicion, List.of()));
   }
 
@@ -48,19 +48,20 @@
       State state, long suspected, long announced) {
     FailureDetector detector = new FailureDetector(SELF, INCARNATION, new SplittableRandom(1), 0);
 
-    detector.onRumour(new Rumour(SELF.name(), state.ordinal(), suspected), 0);
+    detector.onUpdate(new MemberUpdate(SELF.name(), state.ordinal(), suspected), 0);
 
     assertEquals(
-        detector.nextRumours(), List.of(new Rumour(SELF.name(), State.ALIVE.ordinal(), announced)));
+        detector.nextUpdates(),
+        List.of(new MemberUpdate(SELF.name(), State.ALIVE.ordinal(), announced)));
   }
 
   @Test
   public void nothingIsAnnouncedWhenNobodySuspects() {
     FailureDetector detector = new FailureDetector(SELF, INCARNATION, new SplittableRandom(1), 0);
 
-    detector.onRumour(new Rumour(SELF.name(), State.ALIVE.ordinal(), INCARNATION), 0);
+    detector.onUpdate(new MemberUpdate(SELF.name(), State.ALIVE.ordinal(), INCARNATION), 0);
 
-    assertEquals(detector.nextRumours(), List.of());
+    assertEquals(detector.nextUpdates(), List.of());
   }
 
   /**
@@ -74,7 +75,7 @@
         IntStream.range(2, 8).mapToObj(FailureDetectorTest::member).collect(Collectors.toList());
     detector.updateMembers(members, 0);
     NodeId unresponsive = members.get(0).id();
-    detector.onRumour(new Rumour(unresponsive.name(), State.DEAD.ordinal(), 1), 0);
+    detector.onUpdate(new MemberUpdate(unresponsive.name(), State.DEAD.ordinal(), 1), 0);
 
     int probes = 0;
     for (int ms = 250; ms <= 10_000; ms += 250) {
--- a/library/src/test/java/org/dandelionbeam/peer/wiring/TypicalMessages.java
+++ b/library/src/test/java/org/dandelionbeam/peer/wiring/TypicalMessages.java
@@ -41,7 +41,7 @@
   private static final String NODE = "kigali-1-router-3";
   private static final DomainMark MARK = new DomainMark("kigali-1", true, 3, NODE);
   private static final Gossip GOSSIP =
-      new Gossip(List.of(new Gossip.Rumour(NODE, 1, INCARNATION)), List.of(MARK));
+      new Gossip(List.of(new Gossip.MemberUpdate(NODE, 1, INCARNATION)), List.of(MARK));
 
   private TypicalMessages() {}
 
