--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.Optional;
@@ -26,9 +27,6 @@
 
 /** A request of a caller, from its arrival to its response. Confined to one event loop. */
 final class RequestTask implements UpstreamExchange.Listener {
-  /** Timeout of callers that don't announce one. */
-  private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(30);
-
   /** Another upstream usually has a free slot by then. */
   private static final Duration RETRY_AFTER_UPSTREAM_FAILURE = Duration.ofMillis(300);
 
@@ -53,15 +51,9 @@
   private Optional<TeamName> team = Optional.empty();
   private Ticket ticket;
   private Future<?> timer;
-  private Decision.Granted grant;
-  private UpstreamExchange exchange;
+  private UpstreamAttempt attempt;
   private final Attempts attempts = new Attempts();
-  private long sentNanos;
-  private boolean outputSeen;
-  private long firstOutputNanos;
   private final ResponseRelay relay;
-  private int upstreamStatus;
-  private boolean rejected;
   private FullHttpResponse upstreamError;
   private boolean ended;
 
@@ -83,12 +75,13 @@
       metadata = router.dialect().readRequest(head);
     } catch (FleetException e) {
       trace.step("bad_request", e.getMessage(), now);
-      sendError(HttpResponseStatus.valueOf(e.code().httpStatus()), e.code());
+      sendRouterResponse(
+          Replies.error(HttpResponseStatus.valueOf(e.code().httpStatus()), e.code()));
       return;
     }
     Optional<RoutingTable> table = router.fleet().table();
     if (table.isEmpty()) {
-      sendUnavailable(ErrorCode.NOT_READY, RETRY_AFTER_NOT_READY);
+      sendRouterResponse(Replies.unavailable(ErrorCode.NOT_READY, RETRY_AFTER_NOT_READY));
     } else {
       admit(table.get(), now);
     }
@@ -98,7 +91,7 @@
     Admission admission = Admission.of(table, head, metadata.key());
     if (admission instanceof Admission.Denied denied) {
       trace.step(denied.reason(), "config=" + table.version(), now);
-      sendError(denied.status(), denied.code());
+      sendRouterResponse(Replies.error(denied.status(), denied.code()));
     } else if (admission instanceof Admission.Admitted admitted) {
       route = admitted.route();
       team = admitted.team();
@@ -106,28 +99,19 @@
         submit(table, now);
       } else {
         trace.step("stopping", "config=" + table.version(), now);
-        sendUnavailable(ErrorCode.STOPPING, RETRY_AFTER_DRAINING);
+        sendRouterResponse(Replies.unavailable(ErrorCode.STOPPING, RETRY_AFTER_DRAINING));
       }
     }
   }
 
   private void submit(RoutingTable table, long now) {
     trace.routed(route, team.orElse(NO_TEAM).text(), table.version(), now);
-    long timeoutNanos =
-        Math.min(route.timeout().toNanos(), metadata.timeout().orElse(DEFAULT_TIMEOUT).toNanos());
-    long objectiveNanos = Math.min(route.latencyObjective().toNanos(), timeoutNanos);
-    boolean streams = route.kind() == RouteKind.STREAMING;
-    if (streams && route.isIdempotent()) {
+    if (route.kind() == RouteKind.STREAMING && route.isIdempotent()) {
       relay.enableResuming();
     }
-    ticket =
-        Ticket.builder(router.nextTicketNumber())
-            .from(router.fleet().members().self().domain())
-            .firstOutputTimeout(streams ? route.firstOutputTimeout().toNanos() : timeoutNanos)
-            .request(route.pickService(router::random), team.orElse(NO_TEAM), metadata.prompt())
-            .times(arrivedNanos, arrivedNanos + objectiveNanos, arrivedNanos + timeoutNanos)
-            .build();
+    ticket = RequestTickets.create(router, route, team.orElse(NO_TEAM), metadata, arrivedNanos);
     router.fleet().retryBudget().recordRequest(ticket.service(), now);
+    long timeoutNanos = ticket.deadlineNanos() - arrivedNanos;
     timer = router.loop().schedule(this::timedOut, timeoutNanos, TimeUnit.NANOSECONDS);
     router.scheduling().submit(ticket, this);
   }
@@ -148,76 +132,62 @@
   }
 
   private void send(Decision.Granted granted) {
-    grant = granted;
     long now = router.advanceTime();
     trace.granted(granted, now);
     if (attempts.isEmpty()) {
       router.metrics().recordDispatch(route.kind().name(), now - arrivedNanos);
     }
-    sentNanos = now;
-    outputSeen = false;
-    rejected = false;
-    FullHttpRequest request = upstreamRequest(now);
-    exchange = new UpstreamExchange(router.dialect(), request, metadata.requestId(), this);
+    FullHttpRequest request = upstreamRequest(granted.instance().id(), now);
+    UpstreamExchange exchange =
+        new UpstreamExchange(router.dialect(), request, metadata.requestId(), this);
+    attempt = new UpstreamAttempt(granted.instance(), exchange, now);
     router.pool().start(granted.instance().endpoint(), exchange);
   }
 
-  private FullHttpRequest upstreamRequest(long now) {
+  private FullHttpRequest upstreamRequest(InstanceId upstream, long now) {
     Duration remaining = Duration.ofNanos(Math.max(1, ticket.deadlineNanos() - now));
     HttpDialect.UpstreamRequestMetadata added =
-        new HttpDialect.UpstreamRequestMetadata(
-            grant.instance().id(), remaining, team, relay.lastEventId());
+        new HttpDialect.UpstreamRequestMetadata(upstream, remaining, team, relay.lastEventId());
     return UpstreamRequests.of(router.dialect(), head, body, added);
   }
 
   @Override
   public void head(HttpResponse newHead, HttpDialect.ResponseMetadata newMetadata) {
-    upstreamStatus = newHead.status().code();
-    rejected = newMetadata.notRun() || isMisdirected();
+    int status = newHead.status().code();
+    attempt.recordHead(status, newMetadata.notRun());
     boolean resumed = relay.isForwarding();
     if (!resumed) {
-      relay.start(
-          newHead, route.kind() == RouteKind.STREAMING && upstreamStatus < FIRST_ERROR_STATUS);
+      relay.start(newHead, route.kind() == RouteKind.STREAMING && status < FIRST_ERROR_STATUS);
     }
-    router.feedback().record(grant.instance(), newHead, newMetadata);
-    if (!rejected && (!newMetadata.signed() || (resumed && upstreamStatus >= FIRST_ERROR_STATUS))) {
-      trace.step("unusable_answer", "status=" + upstreamStatus, router.now());
-      exchange.abandon();
+    router.feedback().record(attempt.instance(), newHead, newMetadata);
+    boolean usable = newMetadata.signed() && !(resumed && status >= FIRST_ERROR_STATUS);
+    if (!attempt.isRejected() && !usable) {
+      trace.step("unusable_answer", "status=" + status, router.now());
+      attempt.abandon();
       failed(
           Verdict.MAY_HAVE_RUN,
-          "response is unsigned or does not resume the stream, status " + upstreamStatus);
+          "response is unsigned or does not resume the stream, status " + status);
     }
   }
 
-  /** Tells whether another upstream than the expected one has responded. */
-  private boolean isMisdirected() {
-    return upstreamStatus == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-  }
-
-  private InstanceId id() {
-    return grant.instance().id();
-  }
-
   @Override
   public void content(ByteBuf part) {
-    if (ended || rejected) {
+    if (ended || attempt.isRejected()) {
       return;
     }
     recordOutput();
     relay.add(part);
     if (relay.isForwarding() && !connection.isWritable()) {
-      exchange.setReading(false);
+      attempt.setReading(false);
     }
   }
 
   private void recordOutput() {
-    if (!outputSeen) {
-      outputSeen = true;
-      firstOutputNanos = router.now();
-      router.fleet().health().recordOutput(id());
-      Duration elapsed = Duration.ofNanos(router.now() - sentNanos);
+    if (attempt.recordOutput(router.now())) {
+      router.fleet().health().recordOutput(attempt.id());
+      Duration elapsed = Duration.ofNanos(attempt.firstOutputDelayNanos());
       router.scheduling().recordFirstOutput(ticket, elapsed);
-      trace.step("first_output", "status=" + upstreamStatus, router.now());
+      trace.step("first_output", "status=" + attempt.status(), router.now());
     }
   }
 
@@ -230,8 +200,8 @@
 
   /** Stops or resumes reading from the upstream, according to whether the caller keeps up. */
   void setCallerWritable(boolean writable) {
-    if (exchange != null) {
-      exchange.setReading(writable);
+    if (attempt != null) {
+      attempt.setReading(writable);
     }
   }
 
@@ -242,7 +212,7 @@
     }
     router.metrics().count("upstream_responses", "framing", framing.label());
     trace.step("response_end", "framing=" + framing.label(), router.now());
-    if (rejected) {
+    if (attempt.isRejected()) {
       handleRejection();
       return;
     }
@@ -250,9 +220,9 @@
       failed(Verdict.MAY_HAVE_RUN, "stream ended within an event");
       return;
     }
-    int status = upstreamStatus;
-    router.fleet().health().recordResponse(id(), status < FIRST_SERVER_ERROR_STATUS);
-    ticket.exclude(grant.instance().number());
+    int status = attempt.status();
+    router.fleet().health().recordResponse(attempt.id(), status < FIRST_SERVER_ERROR_STATUS);
+    ticket.exclude(attempt.instance().number());
     endGrant(status < FIRST_SERVER_ERROR_STATUS ? Outcome.SERVED : Outcome.FAILED);
     attempts.recordRun(Verdict.RAN);
     if (relay.isForwarding()) {
@@ -262,7 +232,8 @@
     }
     FullHttpResponse response = relay.toFullResponse(framing);
     if (status >= FIRST_SERVER_ERROR_STATUS && mayRunAgain()) {
-      storeUpstreamError(response);
+      ReferenceCountUtil.release(upstreamError);
+      upstreamError = response;
       resubmit("upstream responded with status " + status);
     } else {
       deliver(response);
@@ -270,16 +241,16 @@
   }
 
   private void handleRejection() {
-    int status = upstreamStatus;
-    boolean misdirected = isMisdirected();
-    trace.step("rejected", "status=" + status + " upstream=" + id(), router.now());
+    int status = attempt.status();
+    boolean misdirected = attempt.isMisdirected();
+    trace.step("rejected", "status=" + status + " upstream=" + attempt.id(), router.now());
     router.metrics().count("upstream_rejections", "status", Integer.toString(status));
     if (misdirected) {
-      router.fleet().health().recordUnreachable(id(), router.now());
+      router.fleet().health().recordUnreachable(attempt.id(), router.now());
     }
-    ticket.exclude(grant.instance().number());
+    ticket.exclude(attempt.instance().number());
     endGrant(misdirected ? Outcome.BROKEN : Outcome.ABANDONED);
-    if (attempts.recordRejection() && tryAcquireRetry()) {
+    if (attempts.recordRejection() && router.tryAcquireRetry(ticket.service())) {
       resubmit("upstream rejected the request with status " + status);
     } else {
       endUnserved(RETRY_AFTER_UPSTREAM_FAILURE);
@@ -291,14 +262,15 @@
     if (ended) {
       return;
     }
-    trace.step("broken", "upstream=" + id() + " verdict=" + failure + " " + cause, router.now());
+    trace.step(
+        "broken", "upstream=" + attempt.id() + " verdict=" + failure + " " + cause, router.now());
     router.metrics().count("upstream_failures", "verdict", failure.name());
     if (failure == Verdict.NOT_RUN) {
-      router.fleet().health().recordUnreachable(id(), router.now());
+      router.fleet().health().recordUnreachable(attempt.id(), router.now());
     } else {
-      router.fleet().health().recordBrokenExchange(id(), router.now());
+      router.fleet().health().recordBrokenExchange(attempt.id(), router.now());
     }
-    ticket.exclude(grant.instance().number());
+    ticket.exclude(attempt.instance().number());
     endGrant(Outcome.BROKEN);
     relay.discard();
     if (failure == Verdict.NOT_RUN
@@ -315,25 +287,10 @@
     return relay.canResume() && mayRunAgain();
   }
 
-  /**
-   * Tells whether the request may run at one more upstream, and if so takes a retry from the
-   * budget.
-   */
+  /** Tells whether the request may run once more, and if so takes a retry from the budget. */
   private boolean mayRunAgain() {
     Duration remaining = Duration.ofNanos(ticket.deadlineNanos() - router.now());
-    return attempts.mayRunAgain(route, remaining) && tryAcquireRetry();
-  }
-
-  private boolean tryAcquireRetry() {
-    int routers = router.fleet().members().all().size();
-    return router.fleet().retryBudget().tryAcquire(ticket.service(), routers, router.now());
-  }
-
-  private void storeUpstreamError(FullHttpResponse response) {
-    if (upstreamError != null) {
-      upstreamError.release();
-    }
-    upstreamError = response;
+    return attempts.mayRunAgain(route, remaining) && router.tryAcquireRetry(ticket.service());
   }
 
   private void resubmit(String why) {
@@ -353,9 +310,9 @@
       upstreamError = null;
       deliver(response);
     } else if (attempts.verdict() == Verdict.NOT_RUN) {
-      sendUnavailable(ErrorCode.NO_UPSTREAM, retryAfter);
+      sendRouterResponse(Replies.unavailable(ErrorCode.NO_UPSTREAM, retryAfter));
     } else {
-      sendError(HttpResponseStatus.BAD_GATEWAY, ErrorCode.UPSTREAM_FAILED);
+      sendRouterResponse(Replies.error(HttpResponseStatus.BAD_GATEWAY, ErrorCode.UPSTREAM_FAILED));
     }
   }
 
@@ -363,7 +320,7 @@
     if (ended) {
       return;
     }
-    boolean sent = exchange != null && grant != null && !exchange.hasEnded();
+    boolean sent = attempt != null && attempt.isOpen();
     trace.step("timeout", "sent=" + sent, router.now());
     abandon();
     if (relay.isForwarding()) {
@@ -372,7 +329,8 @@
     } else if (upstreamError != null || (!sent && attempts.verdict() == Verdict.NOT_RUN)) {
       endUnserved(RETRY_AFTER_NOT_READY);
     } else {
-      sendError(HttpResponseStatus.GATEWAY_TIMEOUT, ErrorCode.UPSTREAM_TIMEOUT);
+      sendRouterResponse(
+          Replies.error(HttpResponseStatus.GATEWAY_TIMEOUT, ErrorCode.UPSTREAM_TIMEOUT));
     }
   }
 
@@ -387,8 +345,8 @@
   }
 
   private void abandon() {
-    if (exchange != null) {
-      exchange.abandon();
+    if (attempt != null) {
+      attempt.abandon();
     }
     endGrant(Outcome.ABANDONED);
     if (ticket != null) {
@@ -397,11 +355,9 @@
   }
 
   private void endGrant(Outcome outcome) {
-    if (grant != null) {
+    if (attempt != null && attempt.end()) {
       router.scheduling().recordEnd(ticket, outcome);
     }
-    exchange = null;
-    grant = null;
   }
 
   private void deliver(FullHttpResponse response) {
@@ -409,14 +365,6 @@
     connection.sendResponse(response);
   }
 
-  private void sendUnavailable(ErrorCode code, Duration retryAfter) {
-    sendRouterResponse(Replies.unavailable(code, retryAfter));
-  }
-
-  private void sendError(HttpResponseStatus status, ErrorCode code) {
-    sendRouterResponse(Replies.error(status, code));
-  }
-
   private void sendRouterResponse(FullHttpResponse response) {
     if (metadata != null) {
       response.headers().add(router.dialect().routerResponseHeaders(metadata.requestId()));
@@ -443,9 +391,8 @@
     long now = router.now();
     String kind = route == null ? "none" : route.kind().name();
     router.metrics().recordRequest(kind, team.orElse(NO_TEAM).text(), status, now - arrivedNanos);
-    boolean bad = status == 0 || status >= FIRST_ERROR_STATUS;
-    if (bad || router.drawLogSample()) {
-      long streamNanos = outputSeen ? now - firstOutputNanos : 0;
+    if (status == 0 || status >= FIRST_ERROR_STATUS || router.drawLogSample()) {
+      long streamNanos = attempt == null ? 0 : attempt.streamNanos(now);
       trace.finished(status, attempts.runs(), relay.partCount(), streamNanos, now);
       trace.write(router.log(), metadata == null ? "none" : metadata.requestId());
     }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -12,6 +12,7 @@
 import org.dandelionbeam.routing.DrainWindow;
 import org.dandelionbeam.routing.FleetState;
 import org.dandelionbeam.routing.RoutingTable;
+import org.dandelionbeam.routing.ServiceName;
 
 /** State shared by the connections of a router. Confined to one event loop. */
 final class RouterContext {
@@ -131,6 +132,11 @@
     return random.nextInt(bound);
   }
 
+  /** Takes a retry at a service from the budget of the fleet; returns false if none is left. */
+  boolean tryAcquireRetry(ServiceName service) {
+    return fleet.retryBudget().tryAcquire(service, fleet.members().all().size(), now());
+  }
+
   boolean drawLogSample() {
     return random.nextInt(REQUESTS_PER_LOG_SAMPLE) == 0;
   }
