--- a/library/src/main/java/org/dandelionbeam/scheduling/CandidateSelector.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/CandidateSelector.java
@@ -48,7 +48,7 @@
     List<UpstreamInstance> usable = fleet.upstreams().usable(ticket.service());
     List<UpstreamInstance> allowed =
         usable.stream()
-            .filter(upstream -> !ticket.isExcluded(upstream.number()) && !rests(upstream))
+            .filter(upstream -> !ticket.isExcluded(upstream.number()) && !isResting(upstream))
             .toList();
     if (allowed.isEmpty()) {
       return new Selection.None(timeUntilRested(usable));
@@ -68,7 +68,7 @@
   }
 
   /** Tells whether an upstream has asked this router for a rest that is not over. */
-  boolean rests(UpstreamInstance upstream) {
+  boolean isResting(UpstreamInstance upstream) {
     return !remainingRest(upstream).isZero();
   }
 
--- a/library/src/main/java/org/dandelionbeam/scheduling/SchedulerClient.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/SchedulerClient.java
@@ -296,7 +296,7 @@
         fleet
             .upstreams()
             .find(granted.upstream())
-            .filter(found -> fleet.upstreams().isUsable(found) && !candidates.rests(found));
+            .filter(found -> fleet.upstreams().isUsable(found) && !candidates.isResting(found));
     if (upstream.isEmpty()) {
       // The scheduler knows older or newer entries, or not that the upstream rests.
       actions.add(
