--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamDirectory.java
@@ -31,6 +31,9 @@
    */
   static final Duration REMOVAL_GRACE = Duration.ofMillis(1_200);
 
+  /** Interval in which {@link #removeExpired} has to be called. */
+  public static final Duration EXPIRY_INTERVAL = Duration.ofMillis(100);
+
   /** Longer than a restored copy of the store can be behind. */
   private static final Duration REMOVED_ENTRY_MEMORY = Duration.ofSeconds(60);
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -29,6 +29,7 @@
 import org.dandelionbeam.routing.StaleStateDetector;
 import org.dandelionbeam.routing.StoreData;
 import org.dandelionbeam.routing.StoreVersions;
+import org.dandelionbeam.routing.UpstreamDirectory;
 import org.dandelionbeam.summary.SummaryExchange;
 
 /**
@@ -42,7 +43,7 @@
   private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(12);
 
   private static final Duration STALE_CHECK_INTERVAL = Duration.ofMillis(100);
-  private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
+  private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(500);
 
   /**
    * Callers may use a cached address for up to three cache lifetimes of two seconds after its
@@ -130,7 +131,8 @@
           context.scheduling().refresh();
           cachedParts.queryNewEngines();
         });
-    scheduleEvery(SWEEP_INTERVAL, this::sweep);
+    scheduleEvery(UpstreamDirectory.EXPIRY_INTERVAL, this::expireUpstreams);
+    scheduleEvery(IDLE_CHECK_INTERVAL, this::closeIdleCallers);
   }
 
   /** Lets a read loop go on until nothing is left, so that it notices the end of the input too. */
@@ -165,13 +167,16 @@
     };
   }
 
-  private void sweep() {
+  private void expireUpstreams() {
     long now = context.advanceTime();
     for (InstanceId expired : context.fleet().upstreams().removeExpired(now)) {
       context.log().line("upstream_gone").with("upstream", expired).with("why", "lapsed").write();
       context.fleet().health().forget(expired);
       context.fleet().coldRateLimiter().forget(expired);
     }
+  }
+
+  private void closeIdleCallers() {
     List.copyOf(context.connections()).forEach(CallerConnection::checkIdle);
   }
 
--- a/library/src/test/java/org/dandelionbeam/routing/UpstreamDirectoryTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/UpstreamDirectoryTest.java
@@ -190,4 +190,15 @@
     directory.put(numbered(2, false, 1), 3 * MS);
     assertEquals(directory.usable(SERVICE).size(), 1);
   }
+
+  // Guards against requests to an upstream that serves only for its drain time after it has left.
+  @Test
+  public void upstreamThatLeftDuringAStoreFailureIsOutOfUseWithinTheShortestDrainTime() {
+    Duration reportInterval = Duration.ofMillis(100);
+    Duration untilRead = StoreData.UPSTREAMS.pause().plus(reportInterval);
+    Duration untilRemoved = UpstreamDirectory.REMOVAL_GRACE.plus(UpstreamDirectory.EXPIRY_INTERVAL);
+    Duration shortestDrainTime = Duration.ofSeconds(2);
+
+    assertTrue(untilRead.plus(untilRemoved).compareTo(shortestDrainTime) < 0);
+  }
 }
