--- a/library/src/main/java/org/dandelionbeam/routing/wiring/EventLog.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/EventLog.java
@@ -13,29 +13,31 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Writes decisions and changes of state as JSON lines, with a limit on the lines per second.
+ * Writes decisions and changes of state as JSON lines, with limits on the lines per second.
  *
- * <p>Lines above the limit are dropped and counted, and their number is logged in the next second
- * with a line.
+ * <p>Lines about requests have a limit of their own, so that many failing requests don't displace
+ * the lines that tell why. Lines above a limit are dropped and counted, and their number is logged
+ * in a later second with a line.
  */
 public final class EventLog {
   /** Keeps the cost of logging below a few percent of a core, however many requests fail. */
-  private static final int MAX_LINES_PER_SECOND = 150;
+  private static final int MAX_REQUEST_LINES_PER_SECOND = 100;
 
-  private static final long SECOND_NANOS = 1_000_000_000L;
+  /** The store may list all upstreams and routers at once. */
+  private static final int MAX_STATE_LINES_PER_SECOND = 150;
 
   private final Logger logger = LoggerFactory.getLogger("decisions");
   private final JsonFactory json = new JsonFactory();
   private final String router;
   private final MonotonicClock clock;
-  private long secondStartNanos;
-  private int linesThisSecond;
-  private long droppedLines;
+  private final LineQuota requestLines;
+  private final LineQuota stateLines;
 
   private EventLog(String router, MonotonicClock clock) {
     this.router = requireNonNull(router, "router");
     this.clock = requireNonNull(clock, "clock");
-    secondStartNanos = clock.nanos();
+    requestLines = new LineQuota(MAX_REQUEST_LINES_PER_SECOND, clock.nanos());
+    stateLines = new LineQuota(MAX_STATE_LINES_PER_SECOND, clock.nanos());
   }
 
   /**
@@ -50,18 +52,23 @@
   }
 
   /**
-   * Starts a line.
+   * Starts a line about the state of this router or what it believes.
    *
    * @param event what happened, in lower case with underscores
    * @return the line
    */
   public Line line(String event) {
-    return new Line(event);
+    return new Line(event, stateLines);
+  }
+
+  /** Starts a line about a request. */
+  Line requestLine(String event) {
+    return new Line(event, requestLines);
   }
 
   /** Logs input of a caller that is not a valid request. */
   void logBadInput(String from, int status, ErrorCode code) {
-    line("bad_input").with("from", from).with("status", status).with("code", code).write();
+    requestLine("bad_input").with("from", from).with("status", status).with("code", code).write();
   }
 
   /** Logs an exception that no caller handles, with the place where it was thrown. */
@@ -73,31 +80,23 @@
         .write();
   }
 
-  private boolean tryAdmitLine() {
-    long now = clock.nanos();
-    if (now - secondStartNanos >= SECOND_NANOS) {
-      secondStartNanos = now;
-      linesThisSecond = 0;
-      if (droppedLines > 0) {
-        long count = droppedLines;
-        droppedLines = 0;
-        line("lines_left_out").with("count", count).write();
-      }
-    }
-    linesThisSecond++;
-    if (linesThisSecond > MAX_LINES_PER_SECOND) {
-      droppedLines++;
-      return false;
+  private boolean tryAdmit(LineQuota quota) {
+    boolean admitted = quota.tryTake(clock.nanos());
+    long leftOut = quota.takeLeftOut();
+    if (leftOut > 0) {
+      line("lines_left_out").with("count", leftOut).write();
     }
-    return true;
+    return admitted;
   }
 
   /** Builder of one line. */
   public final class Line {
     private final StringWriter text = new StringWriter();
     private final JsonGenerator generator;
+    private final LineQuota quota;
 
-    private Line(String event) {
+    private Line(String event, LineQuota quota) {
+      this.quota = quota;
       try {
         generator = json.createGenerator(text);
         generator.writeStartObject();
@@ -131,9 +130,9 @@
       return this;
     }
 
-    /** Writes the line unless the limit is reached. */
+    /** Writes the line unless its limit is reached. */
     public void write() {
-      if (!tryAdmitLine()) {
+      if (!tryAdmit(quota)) {
         return;
       }
       try {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
@@ -83,7 +83,7 @@
   void write(EventLog log, String requestId) {
     for (Step step : steps) {
       EventLog.Line line =
-          log.line(step.name)
+          log.requestLine(step.name)
               .with("request", requestId)
               .with("at_ms", String.format("%.1f", (step.nanos - startNanos) / NANOS_PER_MS));
       if (step.version != 0) {
