--- a/library/src/main/java/org/dandelionbeam/routing/RoutingTable.java
+++ b/library/src/main/java/org/dandelionbeam/routing/RoutingTable.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /** One version of the configuration, indexed for lookups. Immutable. */
@@ -86,6 +87,15 @@
     return Optional.ofNullable(teamsByKey.get(key));
   }
 
+  /**
+   * Returns the teams that own keys.
+   *
+   * @return the teams
+   */
+  public Set<TeamName> teams() {
+    return Set.copyOf(teamsByKey.values());
+  }
+
   /**
    * Tells whether routes that are not anonymous require a key.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -240,8 +240,7 @@
     fleet.loads().add(number, grant.addedLoad());
     fleet.coldRateLimiter().recordSent(grant.instance().id(), fleet.nowNanos());
     fleet.prefixCaches().recordSent(ticket.prompt(), number, fleet.nowNanos());
-    long cost = ticket.prompt().isModelRequest() ? ticket.prompt().costTokens() : 1;
-    fleet.usage().recordUsage(ticket.team(), cost, fleet.nowNanos());
+    fleet.usage().recordUsage(ticket.team(), ticket.cost(), fleet.nowNanos());
     throughputOf(ticket.service()).recordGrant(ticket.team(), workOf(ticket), fleet.nowNanos());
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
+++ b/library/src/main/java/org/dandelionbeam/routing/TeamUsage.java
@@ -1,14 +1,14 @@
 package org.dandelionbeam.routing;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
 
 /**
- * Tracks the recent usage of each team, at this router and at all others.
+ * Tracks the recent usage of each team and what it asked for, at this router and at all others.
  *
- * <p>Usage is the cost of the requests that were granted to a team. It decays, so that a team that
- * was idle for long gets no lasting precedence. Not thread-safe.
+ * <p>Usage is the cost of the requests that were granted to a team, demand the cost of those that
+ * its callers sent. Both decay, so that a team that was idle for long gets no lasting precedence.
+ * Not thread-safe.
  */
 public final class TeamUsage {
   /**
@@ -17,14 +17,13 @@
    */
   private static final Duration HALF_LIFE = Duration.ofMillis(600);
 
-  private static final Duration OTHERS_MAX_AGE = Duration.ofSeconds(2);
-
   /** The sums change little within this time, which spans many decisions. */
   private static final Duration SUMMARY_MAX_AGE = Duration.ofMillis(50);
 
-  private final Map<Integer, DecayingAmount> localUsage = new HashMap<>();
-  private Map<Integer, Double> others = Map.of();
-  private long othersAtNanos;
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final TeamAmounts usage = new TeamAmounts(HALF_LIFE);
+  private final TeamAmounts demand = new TeamAmounts(HALF_LIFE);
 
   private double mean;
   private double most;
@@ -51,6 +50,16 @@
     return new DecayingAmount(1, 0, HALF_LIFE).valueAt(Math.max(0, elapsedNanos));
   }
 
+  /**
+   * Returns the cost per second that keeps a decaying amount constant.
+   *
+   * @param amount decayed usage or demand
+   * @return cost per second
+   */
+  static double perSecond(double amount) {
+    return amount * Math.log(2) * NANOS_PER_SECOND / HALF_LIFE.toNanos();
+  }
+
   /**
    * Records usage that this router grants to a team.
    *
@@ -59,21 +68,29 @@
    * @param nowNanos monotonic time
    */
   public void recordUsage(TeamName team, double cost, long nowNanos) {
-    localUsage.merge(
-        team.number(),
-        new DecayingAmount(cost, nowNanos, HALF_LIFE),
-        (old, added) -> old.plus(cost, nowNanos));
+    usage.record(team, cost, nowNanos);
   }
 
   /**
-   * Replaces the usage that all other routers granted.
+   * Records a request that a caller of this router sends for a team.
    *
-   * @param usage decayed cost by number of the team
+   * @param team the team
+   * @param cost cost of the request
    * @param nowNanos monotonic time
    */
-  public void recordOthers(Map<Integer, Double> usage, long nowNanos) {
-    others = Map.copyOf(usage);
-    othersAtNanos = nowNanos;
+  public void recordDemand(TeamName team, double cost, long nowNanos) {
+    demand.record(team, cost, nowNanos);
+  }
+
+  /**
+   * Replaces what all other routers granted and were asked for.
+   *
+   * @param counters counters of the other routers
+   * @param nowNanos monotonic time
+   */
+  public void recordOthers(FleetCounters counters, long nowNanos) {
+    usage.recordOthers(counters.usage(), nowNanos);
+    demand.recordOthers(counters.demand(), nowNanos);
   }
 
   /**
@@ -84,15 +101,7 @@
    * @return decayed cost, summed over all routers
    */
   public double usageOf(TeamName team, long nowNanos) {
-    DecayingAmount local = localUsage.get(team.number());
-    double sum = local == null ? 0 : local.valueAt(nowNanos);
-    Double other = others.get(team.number());
-    return other == null ? sum : sum + other * othersDecay(nowNanos);
-  }
-
-  private double othersDecay(long nowNanos) {
-    long age = nowNanos - othersAtNanos;
-    return age < OTHERS_MAX_AGE.toNanos() ? decay(age) : 0;
+    return usage.totalOf(team, nowNanos);
   }
 
   /**
@@ -123,15 +132,32 @@
     if (nowNanos - summaryAtNanos <= SUMMARY_MAX_AGE.toNanos() && summaryAtNanos != 0) {
       return;
     }
-    Map<Integer, Double> all = new HashMap<>();
-    localUsage.forEach((team, amount) -> all.merge(team, amount.valueAt(nowNanos), Double::sum));
-    double decay = othersDecay(nowNanos);
-    others.forEach((team, amount) -> all.merge(team, amount * decay, Double::sum));
+    Map<Integer, Double> all = usage.totals(nowNanos);
     mean = all.values().stream().mapToDouble(Double::doubleValue).average().orElse(0);
     most = all.values().stream().mapToDouble(Double::doubleValue).max().orElse(0);
     summaryAtNanos = nowNanos;
   }
 
+  /**
+   * Returns the usage of all teams.
+   *
+   * @param nowNanos monotonic time
+   * @return decayed cost by number of the team, summed over all routers
+   */
+  public Map<Integer, Double> usageByTeam(long nowNanos) {
+    return usage.totals(nowNanos);
+  }
+
+  /**
+   * Returns the demand of all teams.
+   *
+   * @param nowNanos monotonic time
+   * @return decayed cost by number of the team, summed over all routers
+   */
+  public Map<Integer, Double> demandByTeam(long nowNanos) {
+    return demand.totals(nowNanos);
+  }
+
   /**
    * Returns the usage that this router granted, and drops teams whose usage has decayed to less
    * than 1.
@@ -140,9 +166,17 @@
    * @return decayed cost by number of the team
    */
   public Map<Integer, Double> localUsage(long nowNanos) {
-    Map<Integer, Double> report = new HashMap<>();
-    localUsage.values().removeIf(amount -> amount.valueAt(nowNanos) < 1);
-    localUsage.forEach((team, amount) -> report.put(team, amount.valueAt(nowNanos)));
-    return report;
+    return usage.local(nowNanos);
+  }
+
+  /**
+   * Returns the demand of this router's callers, and drops teams whose demand has decayed to less
+   * than 1.
+   *
+   * @param nowNanos monotonic time
+   * @return decayed cost by number of the team
+   */
+  public Map<Integer, Double> localDemand(long nowNanos) {
+    return demand.local(nowNanos);
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/Ticket.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Ticket.java
@@ -99,6 +99,15 @@
     return prompt;
   }
 
+  /**
+   * Returns the cost of the request in the usage and demand of its team.
+   *
+   * @return tokens of a model request, 1 for a plain service
+   */
+  public long cost() {
+    return prompt.isModelRequest() ? prompt.costTokens() : 1;
+  }
+
   /**
    * Returns the failure domain that the request is sent from.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
@@ -55,7 +55,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     ctx = context;
-    router.connections().add(this);
+    router.addConnection(this);
   }
 
   /** Records that bytes have arrived, before the request headers are complete. */
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -29,6 +29,7 @@
 import org.dandelionbeam.routing.StaleStateDetector;
 import org.dandelionbeam.routing.StoreData;
 import org.dandelionbeam.routing.StoreVersions;
+import org.dandelionbeam.routing.TeamShareMonitor;
 import org.dandelionbeam.routing.UpstreamDirectory;
 import org.dandelionbeam.summary.SummaryExchange;
 
@@ -67,6 +68,7 @@
   private final PeerLink peerLink;
   private final SummaryExchange summaries;
   private final FleetStateLog stateLog;
+  private final LoopDelayMonitor loopDelay;
   private Channel listener;
 
   private FleetRouter(
@@ -77,8 +79,10 @@
     context = new RouterContext(loop, fleet, scheduling, dialect, pool, log, metrics);
     summaries = SummaryExchange.of(fleet, this::isReady);
     stateLog = new FleetStateLog(context);
+    loopDelay = new LoopDelayMonitor(REPORT_INTERVAL, context.now());
     metrics.gauge("waiting_requests", () -> scheduling.service().waitingCount());
     metrics.gauge("upstream_connections_opened", pool::openedCount);
+    metrics.gauge("accepted_connections", context::acceptedConnections);
     metrics.gauge("blamed_prompt_parts", stateLog::blamedPartCount);
   }
 
@@ -131,13 +135,15 @@
     scheduleEvery(
         REPORT_INTERVAL,
         () -> {
+          loopDelay.recordRun(context.now());
           report();
           context.scheduling().refresh();
           cachedParts.queryNewEngines();
         });
     scheduleEvery(UpstreamDirectory.EXPIRY_INTERVAL, this::expireUpstreams);
     scheduleEvery(IDLE_CHECK_INTERVAL, this::closeIdleCallers);
-    scheduleEvery(QUEUE_LOG_INTERVAL, stateLog::logQueues);
+    scheduleEvery(QUEUE_LOG_INTERVAL, this::logState);
+    scheduleEvery(TeamShareMonitor.SAMPLE_INTERVAL, this::logShares);
   }
 
   /** Lets a read loop go on until nothing is left, so that it notices the end of the input too. */
@@ -147,6 +153,18 @@
         .maxMessagesPerRead(MAX_READS_PER_LOOP);
   }
 
+  private void logState() {
+    stateLog.logQueues();
+    stateLog.logLoopDelay(loopDelay.takeMaxDelay());
+  }
+
+  /** One router speaks for the fleet, as all know the same sums. */
+  private void logShares() {
+    if (summaries.isFirstRelay()) {
+      stateLog.logShares();
+    }
+  }
+
   private void report() {
     context.advanceTime();
     context.fleet().members().serving(isReady());
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetStateLog.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetStateLog.java
@@ -10,6 +10,9 @@
 import org.dandelionbeam.base.FailureDomain;
 import org.dandelionbeam.routing.AvailabilityMonitor;
 import org.dandelionbeam.routing.Endpoint;
+import org.dandelionbeam.routing.RoutingTable;
+import org.dandelionbeam.routing.TeamName;
+import org.dandelionbeam.routing.TeamShareMonitor;
 import org.dandelionbeam.scheduling.SchedulerService;
 
 /** Logs what this router comes to believe about the fleet. Confined to one event loop. */
@@ -19,13 +22,21 @@
 
   private static final int MAX_TEAMS = 4;
 
+  /** Part of its claim below which a team is logged, well before it is unfair. */
+  private static final double LOGGED_SHARE = 0.7;
+
+  /** Callers notice a delay of this size in the time to the first output. */
+  private static final Duration LOGGED_DELAY = Duration.ofMillis(100);
+
   private final RouterContext context;
+  private final TeamShareMonitor shares;
   private final AvailabilityMonitor availability;
   private final Map<FailureDomain, List<Endpoint>> namedAddresses = new HashMap<>();
   private Set<Long> blamedParts = Set.of();
 
   FleetStateLog(RouterContext context) {
     this.context = requireNonNull(context, "context");
+    shares = TeamShareMonitor.of(context.fleet().usage());
     availability = AvailabilityMonitor.of(context.fleet().members());
   }
 
@@ -88,6 +99,36 @@
     }
   }
 
+  /** Samples what the teams of the fleet got, and logs those that got much less than they could. */
+  void logShares() {
+    long now = context.advanceTime();
+    shares.sample(now);
+    Set<TeamName> teams = context.fleet().table().map(RoutingTable::teams).orElse(Set.of());
+    List<TeamShareMonitor.TeamShare> behind =
+        shares.shares(teams).stream()
+            .filter(share -> share.ratio() < LOGGED_SHARE)
+            .limit(MAX_TEAMS)
+            .toList();
+    if (!behind.isEmpty()) {
+      context.log().line("teams_behind").with("teams", behind).write();
+    }
+  }
+
+  /** Logs how late the event loop was, if new connections and requests had to wait for it. */
+  void logLoopDelay(Duration maxDelay) {
+    if (maxDelay.compareTo(LOGGED_DELAY) > 0) {
+      context
+          .log()
+          .line("event_loop_late")
+          .with("max_delay_ms", maxDelay.toMillis())
+          .with("accepted_connections", context.acceptedConnections())
+          .with("open_connections", context.connections().size())
+          .with("requests", context.scheduling().taskCount())
+          .with("waiting", context.scheduling().service().waitingCount())
+          .write();
+    }
+  }
+
   /** Logs which teams wait at this scheduler, and how their usage compares with the largest. */
   void logQueues() {
     context.advanceTime();
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -111,6 +111,7 @@
     }
     ticket = RequestTickets.create(router, route, team.orElse(NO_TEAM), metadata, arrivedNanos);
     router.fleet().retryBudget().recordRequest(ticket.service(), now);
+    router.fleet().usage().recordDemand(ticket.team(), ticket.cost(), now);
     Optional<Duration> blame = router.fleet().promptBlame().remainingBlame(ticket.prompt(), now);
     if (blame.isPresent()) {
       apply(new Decision.Refused(ticket, Decision.RefusalReason.PROMPT_BLAMED, blame.get()));
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -37,6 +37,7 @@
   private final UpstreamFeedback feedback = new UpstreamFeedback(this);
   private final SplittableRandom random = new SplittableRandom();
   private final Set<CallerConnection> connections = new HashSet<>();
+  private long acceptedConnections;
   private long reservedBodyBytes;
   private long lastTicketNumber;
   private Optional<DrainWindow> drainWindow = Optional.empty();
@@ -95,6 +96,17 @@
     return connections;
   }
 
+  /** Adds a connection that a caller has opened. */
+  void addConnection(CallerConnection connection) {
+    connections.add(connection);
+    acceptedConnections++;
+  }
+
+  /** Returns the number of connections that callers have opened. */
+  long acceptedConnections() {
+    return acceptedConnections;
+  }
+
   CallerLimits limits() {
     return fleet.table().map(RoutingTable::limits).orElse(CallerLimits.DEFAULT);
   }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
@@ -158,11 +158,8 @@
 
   private static void packCounters(MessagePacker packer, FleetCounters counters)
       throws IOException {
-    packer.packMapHeader(counters.usage().size());
-    for (Map.Entry<Integer, Double> entry : counters.usage().entrySet()) {
-      packer.packInt(entry.getKey());
-      packer.packFloat(entry.getValue().floatValue());
-    }
+    packAmounts(packer, counters.usage());
+    packAmounts(packer, counters.demand());
     packer.packMapHeader(counters.retries().size());
     for (Map.Entry<Integer, RetryCounts> entry : counters.retries().entrySet()) {
       packer.packInt(entry.getKey());
@@ -180,18 +177,33 @@
   }
 
   private static FleetCounters unpackCounters(MessageUnpacker unpacker) throws IOException {
-    int teams = unpacker.unpackMapHeader();
-    Map<Integer, Double> usage = new HashMap<>();
-    for (int i = 0; i < teams; i++) {
-      usage.put(unpacker.unpackInt(), (double) unpacker.unpackFloat());
-    }
+    Map<Integer, Double> usage = unpackAmounts(unpacker);
+    Map<Integer, Double> demand = unpackAmounts(unpacker);
     int services = unpacker.unpackMapHeader();
     Map<Integer, RetryCounts> retries = new HashMap<>();
     for (int i = 0; i < services; i++) {
       retries.put(
           unpacker.unpackInt(), new RetryCounts(unpacker.unpackLong(), unpacker.unpackLong()));
     }
-    return new FleetCounters(usage, retries, unpackCrashes(unpacker));
+    return new FleetCounters(usage, demand, retries, unpackCrashes(unpacker));
+  }
+
+  private static void packAmounts(MessagePacker packer, Map<Integer, Double> amounts)
+      throws IOException {
+    packer.packMapHeader(amounts.size());
+    for (Map.Entry<Integer, Double> entry : amounts.entrySet()) {
+      packer.packInt(entry.getKey());
+      packer.packFloat(entry.getValue().floatValue());
+    }
+  }
+
+  private static Map<Integer, Double> unpackAmounts(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackMapHeader();
+    Map<Integer, Double> amounts = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      amounts.put(unpacker.unpackInt(), (double) unpacker.unpackFloat());
+    }
+    return amounts;
   }
 
   private static Map<Long, CrashCounts> unpackCrashes(MessageUnpacker unpacker) throws IOException {
--- a/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
@@ -138,6 +138,7 @@
     FleetCounters counters =
         new FleetCounters(
             fleet.usage().localUsage(now),
+            fleet.usage().localDemand(now),
             fleet.retryBudget().localCounts(now),
             fleet.promptBlame().localCounts(now));
     Set<Integer> available = fleet.members().availableNumbers(now);
@@ -328,6 +329,17 @@
         && fleet.nowNanos() - relayHeardNanos <= RELAY_TIMEOUT.toNanos();
   }
 
+  /**
+   * Tells whether this router is the one relay that speaks for the fleet, where one is enough.
+   *
+   * @return true for the relay with the first name of those that this one hears of
+   */
+  public boolean isFirstRelay() {
+    RouterName own = self().name();
+    return currentRelay.equals(own)
+        && relayReports.keySet().stream().allMatch(other -> own.compareTo(other) < 0);
+  }
+
   /**
    * Handles a message of another router.
    *
@@ -402,7 +414,7 @@
     }
     FleetCounters part = own.counters.decayed(TeamUsage.decay(now - own.atNanos));
     FleetCounters others = total.minus(part);
-    fleet.usage().recordOthers(others.usage(), now);
+    fleet.usage().recordOthers(others, now);
     fleet.retryBudget().recordOthers(others.retries(), now);
     fleet.promptBlame().recordTotal(total.crashes(), now);
   }
--- a/library/src/test/java/org/dandelionbeam/routing/FleetStateTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/FleetStateTest.java
@@ -116,7 +116,8 @@
     TeamUsage usage = TeamUsage.create();
     TeamName team = TeamName.of("red");
     usage.recordUsage(team, 100, 0);
-    usage.recordOthers(Map.of(team.number(), 40.0), 0);
+    usage.recordOthers(
+        new FleetCounters(Map.of(team.number(), 40.0), Map.of(), Map.of(), Map.of()), 0);
 
     assertEquals(usage.usageOf(team, 0), 140.0, 0.01);
     assertEquals(usage.usageOf(team, 600 * MS), 70.0, 0.01);
--- a/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
@@ -392,14 +392,14 @@
 
   private static Map<Integer, RetryCounts> sum(List<Map<Integer, RetryCounts>> counts) {
     FleetCounters.Sum sum = new FleetCounters.Sum();
-    counts.forEach(part -> sum.add(new FleetCounters(Map.of(), part, Map.of())));
+    counts.forEach(part -> sum.add(new FleetCounters(Map.of(), Map.of(), part, Map.of())));
     return sum.total().retries();
   }
 
   private static Map<Integer, RetryCounts> without(
       Map<Integer, RetryCounts> all, Map<Integer, RetryCounts> own) {
-    return new FleetCounters(Map.of(), all, Map.of())
-        .minus(new FleetCounters(Map.of(), own, Map.of()))
+    return new FleetCounters(Map.of(), Map.of(), all, Map.of())
+        .minus(new FleetCounters(Map.of(), Map.of(), own, Map.of()))
         .retries();
   }
 }
--- a/library/src/test/java/org/dandelionbeam/routing/PromptBlameTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/PromptBlameTest.java
@@ -131,8 +131,8 @@
 
   private static Map<Long, CrashCounts> sum(PromptBlame one, PromptBlame other, long nowMs) {
     FleetCounters.Sum sum = new FleetCounters.Sum();
-    sum.add(new FleetCounters(Map.of(), Map.of(), one.localCounts(nowMs * MS)));
-    sum.add(new FleetCounters(Map.of(), Map.of(), other.localCounts(nowMs * MS)));
+    sum.add(new FleetCounters(Map.of(), Map.of(), Map.of(), one.localCounts(nowMs * MS)));
+    sum.add(new FleetCounters(Map.of(), Map.of(), Map.of(), other.localCounts(nowMs * MS)));
     return sum.total().crashes();
   }
 
--- a/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
@@ -307,6 +307,7 @@
               .times(nowMs * MS, (nowMs + objectiveMs) * MS, (nowMs + 5_000) * MS)
               .firstOutputTimeout(2_400 * MS)
               .build();
+      state.usage().recordDemand(ticket.team(), ticket.cost(), nowMs * MS);
       execute(client.submit(ticket));
       return ticket;
     }
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
@@ -38,6 +38,7 @@
   private static final FleetCounters COUNTERS =
       new FleetCounters(
           Map.of(9, 1.5),
+          Map.of(9, 2.5, -8, 100.0),
           Map.of(3, new RetryCounts(100, 7)),
           Map.of(
               -4L,
