--- a/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
@@ -208,22 +208,22 @@
   public void step() {
     nowMs++;
     for (Router router : routers) {
-      if (!router.stopped) {
+      if (router.runs()) {
         router.state.advanceTo(nowMs * MS, nowMs);
       }
     }
     List<Runnable> arriving = sent;
     sent = new ArrayList<>();
     arriving.forEach(Runnable::run);
+    routers.stream().filter(Router::runs).forEach(Router::readPending);
     runScheduled();
     List.copyOf(engines.values()).forEach(this::prefill);
     for (int i = 0; i < routers.size(); i++) {
       Router router = routers.get(i);
-      if (!router.stopped && (nowMs + i) % REPORT_MS == 0) {
-        router.report();
-      }
-      if (!router.stopped && (nowMs + i) % TICK_MS == 0) {
-        router.tick();
+      router.reportDue |= (nowMs + i) % REPORT_MS == 0;
+      router.tickDue |= (nowMs + i) % TICK_MS == 0;
+      if (router.runs()) {
+        router.runDueTasks();
       }
     }
   }
@@ -237,7 +237,7 @@
       sent.add(
           () -> {
             if (!to.stopped) {
-              receipt.run();
+              to.pending.add(receipt);
             }
           });
     }
@@ -260,7 +260,7 @@
           return;
         }
         engine.queue.remove(0);
-        work.router.prefilled(work);
+        work.router.read(() -> work.router.prefilled(work));
       }
     }
   }
@@ -271,6 +271,13 @@
     public final SchedulerService service;
     public final List<Decision> decisions = new ArrayList<>();
 
+    /** Messages that have arrived and were not read yet. */
+    private final List<Runnable> pending = new ArrayList<>();
+
+    private long lateUntilMs;
+    private boolean reportDue;
+    private boolean tickDue;
+
     /** Whether the router neither acts nor receives messages; its engines go on. */
     public boolean stopped;
 
@@ -298,6 +305,47 @@
       summaries = SummaryExchange.of(state, () -> true);
     }
 
+    /**
+     * Keeps the event loop of the router busy for some time. Then the tasks that are due run before
+     * the messages are read that have arrived meanwhile.
+     */
+    public void block(int ms) {
+      lateUntilMs = nowMs + ms;
+    }
+
+    /** Tells whether the event loop of the router gets on. */
+    public boolean runs() {
+      return !stopped && nowMs >= lateUntilMs;
+    }
+
+    /** Reads a message now, or when the event loop gets on. */
+    private void read(Runnable receipt) {
+      if (nowMs > lateUntilMs) {
+        receipt.run();
+      } else {
+        pending.add(receipt);
+      }
+    }
+
+    private void readPending() {
+      if (nowMs > lateUntilMs) {
+        List<Runnable> read = List.copyOf(pending);
+        pending.clear();
+        read.forEach(Runnable::run);
+      }
+    }
+
+    private void runDueTasks() {
+      if (reportDue) {
+        reportDue = false;
+        report();
+      }
+      if (tickDue) {
+        tickDue = false;
+        tick();
+      }
+    }
+
     /** Submits a request; returns its ticket, whose decisions are recorded as they come. */
     public Ticket submit(String team, PromptProfile profile, long objectiveMs) {
       lastTicketNumber++;
--- a/library/src/test/java/org/dandelionbeam/scheduling/SchedulingFailureTest.java
+++ b/library/src/test/java/org/dandelionbeam/scheduling/SchedulingFailureTest.java
@@ -47,17 +47,18 @@
     throw new AssertionError("no router schedules the engines");
   }
 
+  private static Ticket submitAt(SimulatedFleet.Router router, Random random) {
+    String session = "s" + random.nextInt(40);
+    String unique = "u" + random.nextLong();
+    return router.submit("team", SimulatedFleet.prompt(session, 600, 1_000, unique), OBJECTIVE_MS);
+  }
+
   /** Submits a request at a random router that runs, with a probability for each millisecond. */
   private static void submit(
       SimulatedFleet fleet, Random random, double perMs, List<Ticket> tickets) {
     SimulatedFleet.Router router = fleet.router(random.nextInt(ROUTERS));
     if (!router.stopped && random.nextDouble() < perMs) {
-      String session = "s" + random.nextInt(40);
-      tickets.add(
-          router.submit(
-              "team",
-              SimulatedFleet.prompt(session, 600, 1_000, "u" + random.nextLong()),
-              OBJECTIVE_MS));
+      tickets.add(submitAt(router, random));
     }
   }
 
@@ -148,6 +149,30 @@
     assertNothingHeld(fleet);
   }
 
+  // Guards against a busy router that reads the answers of its schedulers late, takes them for dead
+  // and gives its requests to routers that don't know the load of the engines.
+  @Test(dataProvider = "seeds", groups = "known-red")
+  public void busyRouterKeepsItsSchedulers(long seed) {
+    SimulatedFleet fleet = new SimulatedFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
+    Random random = new Random(seed);
+    int scheduler = schedulerOf(fleet);
+    SimulatedFleet.Router busy = fleet.router((scheduler + 1) % ROUTERS);
+    for (int ms = 0; ms < 6_000; ms++) {
+      if (ms % 400 == 0) {
+        submitAt(busy, random);
+        busy.block(200 + random.nextInt(150));
+      } else if (busy.runs() && random.nextInt(10) == 0) {
+        submitAt(busy, random);
+      }
+      fleet.step();
+      for (int i = 0; i < ROUTERS; i++) {
+        SchedulerService service = fleet.router(i).service;
+        int submissions = service.waitingCount() + service.grantedCount();
+        assertTrue(i == scheduler || submissions == 0, "submissions at another router");
+      }
+    }
+  }
+
   @Test
   public void submissionsOfARouterThatStopsAreReleased() {
     SimulatedFleet fleet = new SimulatedFleet(ROUTERS, ENGINES, 0.01);
