Take a scheduler for silent only after passes over the sockets

What callers saw: requests at a busy router went to routers that don't schedule their engines, which know nothing of the load and grant at once; so the order between teams held for none of them, and running requests were placed twice. Cause: a scheduler that has not answered for 150 ms is avoided. A router whose event loop is late measures that by the clock, while the answers wait in its socket. Class of fault: a late observer takes others for dead. Why it works: an answer is overdue only if the loop has made three passes since it was due, so that what waited was read; repeats of submissions likewise.

--- a/library/src/main/java/org/dandelionbeam/scheduling/PendingSubmission.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/PendingSubmission.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.LoopTime;
 import org.dandelionbeam.routing.Ticket;
 
 /** A request that was submitted to a scheduler and has not ended. */
@@ -19,7 +20,7 @@
   final Ticket ticket;
   State state = State.SUBMITTED;
   Member scheduler;
-  long sentNanos;
+  LoopTime sent;
   Optional<Decision.Granted> grant = Optional.empty();
   boolean outputSeen;
 
--- a/library/src/main/java/org/dandelionbeam/scheduling/SchedulerClient.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/SchedulerClient.java
@@ -15,6 +15,7 @@
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.FleetMembers.Member;
 import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.LoopTime;
 import org.dandelionbeam.routing.RouterName;
 import org.dandelionbeam.routing.Ticket;
 import org.dandelionbeam.routing.UpstreamInstance;
@@ -34,6 +35,7 @@
   private final CandidateSelector candidates;
   private final Map<Long, PendingSubmission> pending = new LinkedHashMap<>();
   private final Map<RouterName, SchedulerLink> links = new HashMap<>();
+  private LoopTime lastTick = new LoopTime(0, 0);
   private SchedulerAssignment assignment;
   private Set<RouterName> avoided = Set.of();
 
@@ -151,7 +153,7 @@
           new Action.Send(submission.scheduler, new ScheduleRequest.Cancel(ticket.number())));
     }
     submission.scheduler = scheduler;
-    submission.sentNanos = fleet.nowNanos();
+    submission.sent = loopTime();
     submission.state = State.SUBMITTED;
     Submission message =
         Submission.of(
@@ -168,12 +170,14 @@
 
   private void expectAnswer(Member scheduler) {
     if (!isSelf(scheduler)) {
-      links
-          .computeIfAbsent(scheduler.name(), key -> new SchedulerLink())
-          .expectAnswer(fleet.nowNanos());
+      links.computeIfAbsent(scheduler.name(), key -> new SchedulerLink()).expectAnswer(loopTime());
     }
   }
 
+  private LoopTime loopTime() {
+    return lastTick.at(fleet.nowNanos());
+  }
+
   private boolean isSelf(Member member) {
     return member.name().equals(fleet.members().self().name());
   }
@@ -321,7 +325,8 @@
    * @return what has to be done
    */
   public List<Action> tick() {
-    long now = fleet.nowNanos();
+    lastTick = lastTick.next(fleet.nowNanos());
+    LoopTime now = lastTick;
     List<Action> actions = new ArrayList<>();
     boolean anySilent = false;
     for (SchedulerLink link : links.values()) {
@@ -336,8 +341,7 @@
       }
       boolean lost = avoided.contains(submission.scheduler.name());
       boolean unanswered =
-          submission.state == State.SUBMITTED
-              && now - submission.sentNanos >= RESEND_DELAY.toNanos();
+          submission.state == State.SUBMITTED && submission.sent.isOverdue(RESEND_DELAY, now);
       if (lost || unanswered) {
         send(submission, actions);
       }
@@ -347,7 +351,7 @@
   }
 
   /** Confirms the submissions at their schedulers, which are looked up anew for granted ones. */
-  private void synchronize(long now, List<Action> actions) {
+  private void synchronize(LoopTime now, List<Action> actions) {
     Map<Member, List<Long>> waiting = new HashMap<>();
     Map<Member, List<ScheduleRequest.Running>> running = new HashMap<>();
     for (PendingSubmission submission : pending.values()) {
@@ -366,7 +370,7 @@
     schedulers.addAll(running.keySet());
     for (Member scheduler : schedulers) {
       SchedulerLink link = links.computeIfAbsent(scheduler.name(), key -> new SchedulerLink());
-      if (link.isSyncDue(now)) {
+      if (link.isSyncDue(now.nanos())) {
         link.recordSync(now, !isSelf(scheduler));
         ScheduleRequest.Sync.split(
                 waiting.getOrDefault(scheduler, List.of()),
--- a/library/src/main/java/org/dandelionbeam/scheduling/SchedulerLink.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/SchedulerLink.java
@@ -1,6 +1,7 @@
 package org.dandelionbeam.scheduling;
 
 import java.time.Duration;
+import org.dandelionbeam.routing.LoopTime;
 
 /**
  * What a router knows of one scheduler: whether an answer of it is overdue, and when submissions
@@ -19,7 +20,7 @@
   private static final Duration SYNC_INTERVAL = Duration.ofMillis(200);
 
   private boolean answerExpected;
-  private long expectedSinceNanos;
+  private LoopTime expectedSince;
   private Duration answerTimeout = ANSWER_TIMEOUT;
   private boolean avoided;
   private long avoidedUntilNanos;
@@ -27,22 +28,22 @@
   private long syncedNanos;
   private long usedNanos;
 
-  void expectAnswer(long nowNanos) {
-    usedNanos = nowNanos;
+  void expectAnswer(LoopTime now) {
+    usedNanos = now.nanos();
     if (!answerExpected || answerTimeout.equals(SYNC_ANSWER_TIMEOUT)) {
       answerExpected = true;
-      expectedSinceNanos = nowNanos;
+      expectedSince = now;
       answerTimeout = ANSWER_TIMEOUT;
     }
   }
 
-  void recordSync(long nowNanos, boolean hasAnswer) {
+  void recordSync(LoopTime now, boolean hasAnswer) {
     synced = true;
-    syncedNanos = nowNanos;
-    usedNanos = nowNanos;
+    syncedNanos = now.nanos();
+    usedNanos = now.nanos();
     if (hasAnswer && !answerExpected) {
       answerExpected = true;
-      expectedSinceNanos = nowNanos;
+      expectedSince = now;
       answerTimeout = SYNC_ANSWER_TIMEOUT;
     }
   }
@@ -57,13 +58,13 @@
   }
 
   /** Avoids the scheduler if an answer is overdue; returns whether it is. */
-  boolean avoidIfSilent(long nowNanos) {
-    if (!answerExpected || nowNanos - expectedSinceNanos < answerTimeout.toNanos()) {
+  boolean avoidIfSilent(LoopTime now) {
+    if (!answerExpected || !expectedSince.isOverdue(answerTimeout, now)) {
       return false;
     }
     answerExpected = false;
     avoided = true;
-    avoidedUntilNanos = nowNanos + AVOIDANCE.toNanos();
+    avoidedUntilNanos = now.nanos() + AVOIDANCE.toNanos();
     return true;
   }
 
--- a/library/src/test/java/org/dandelionbeam/scheduling/SchedulingFailureTest.java
+++ b/library/src/test/java/org/dandelionbeam/scheduling/SchedulingFailureTest.java
@@ -151,7 +151,7 @@
 
   // Guards against a busy router that reads the answers of its schedulers late, takes them for dead
   // and gives its requests to routers that don't know the load of the engines.
-  @Test(dataProvider = "seeds", groups = "known-red")
+  @Test(dataProvider = "seeds")
   public void busyRouterKeepsItsSchedulers(long seed) {
     SimulatedFleet fleet = new SimulatedFleet(ROUTERS, ENGINES, TOKENS_PER_MS);
     Random random = new Random(seed);
