Let relays of a failure domain that lost each other find each other again

What callers would see: the directory names a part of a domain's routers, and routers of each part know nothing of what the other one grants. Cause: relays that stop together and come back know each other and their routers, the others have another relay meanwhile, and both take the other part for unavailable. A relay looked for others only while no router reported to it, so that the two parts never met, though both exchange sums with other domains. Why it works: a relay reports every 400 ms to a router of its domain that it does not know to be available, whoever reports to itself; the router or its relay then knows both.

--- a/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
@@ -41,8 +41,8 @@
   /** Time after which a relay that was silent is tried again. */
   private static final Duration RELAY_RETRY_DELAY = Duration.ofSeconds(4);
 
-  /** Interval in which a relay without routers looks for the relay that they use. */
-  private static final Duration SEARCH_INTERVAL = Duration.ofSeconds(1);
+  /** Interval in which a relay looks for routers that may use another one. */
+  private static final Duration SEARCH_INTERVAL = Duration.ofMillis(400);
 
   /** Relays of each domain that get the sums, so that the second one can take over. */
   private static final int RELAYS_PER_DOMAIN = 2;
@@ -123,7 +123,7 @@
     if (!routerReports.isEmpty()) {
       relayReports(now, messages);
     }
-    if (isRelay && routerReports.size() == 1) {
+    if (isRelay) {
       searchOtherRelay(own, now, messages);
     }
     return messages;
@@ -299,19 +299,22 @@
   }
 
   /**
-   * Reports to each other router of the domain in turn. A relay that returns after others have
-   * replaced it becomes known to the new one that way.
+   * Reports to each router of the domain in turn that this relay doesn't know to be available. They
+   * may have another relay, which learns of this one that way.
    */
   private void searchOtherRelay(RouterReport own, long now, List<Outgoing> messages) {
-    List<Member> all = ranked(self().domain());
-    if (all.size() < 2 || now - searchedNanos < SEARCH_INTERVAL.toNanos()) {
+    if (now - searchedNanos < SEARCH_INTERVAL.toNanos()) {
       return;
     }
-    searchedNanos = now;
-    searches++;
-    Member member = all.get(searches % all.size());
-    if (!member.equals(self())) {
-      messages.add(new Outgoing(member, own));
+    List<Member> missing =
+        ranked(self().domain()).stream()
+            .filter(member -> !fleet.members().isAvailable(member.name().number(), now))
+            .filter(member -> !member.equals(self()))
+            .toList();
+    if (!missing.isEmpty()) {
+      searchedNanos = now;
+      searches++;
+      messages.add(new Outgoing(missing.get(searches % missing.size()), own));
     }
   }
 
--- a/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
+++ b/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
@@ -72,9 +72,12 @@
       }
       for (int i = 0; i < routers.size(); i++) {
         Router router = routers.get(i);
-        if (!router.stopped && (nowMs + 7 * i) % TICK_MS == 0) {
+        router.tickDue |= (nowMs + 7 * i) % TICK_MS == 0;
+        if (!router.stopped && nowMs >= router.lateUntilMs && router.tickDue) {
+          router.tickDue = false;
           router.tick();
         }
+        router.read();
       }
     }
 
@@ -125,6 +128,13 @@
     private final Member member;
     private FleetState state;
     private SummaryExchange exchange;
+    private final List<SummaryMessage> unread = new ArrayList<>();
+    private final Set<RouterName> relays = new HashSet<>();
+
+    /** The event loop runs no task until then, and reads messages after the tasks. */
+    private long lateUntilMs;
+
+    private boolean tickDue;
     private boolean stopped;
     private boolean serving = true;
     private int messages;
@@ -174,16 +184,26 @@
       state.members().serving(serving);
       for (SummaryExchange.Outgoing outgoing : exchange.tick()) {
         messages++;
+        if (outgoing.message() instanceof SummaryMessage.RouterReport) {
+          relays.add(outgoing.to().name());
+        }
         Router to = fleet.byName.get(outgoing.to().name());
         fleet.sent.add(
             () -> {
               if (!to.stopped) {
                 to.messages++;
-                to.exchange.receive(outgoing.message());
+                to.unread.add(outgoing.message());
               }
             });
       }
     }
+
+    private void read() {
+      if (fleet.nowMs >= lateUntilMs) {
+        unread.forEach(exchange::receive);
+        unread.clear();
+      }
+    }
   }
 
   @DataProvider
@@ -222,18 +242,28 @@
     fleet.assertAllKnow(fleet.routers);
   }
 
-  @Test
-  public void relaysOfADomainThatStopTogetherAreReplacedAndReturn() {
+  /** Relays that stop, and for how long. */
+  @DataProvider
+  public Object[][] stops() {
+    return new Object[][] {
+      {1, 4_000}, {2, 4_000}, {3, 4_000}, {4, 4_000}, {6, 4_000}, {4, 3_950}, {4, 4_050}, {4, 2_500}
+    };
+  }
+
+  // Guards against routers of a domain that use different relays from then on, so that each part
+  // of the domain takes the other one for lost.
+  @Test(dataProvider = "stops")
+  public void relaysOfADomainThatStopTogetherAreReplacedAndReturn(int count, int stoppedMs) {
     Fleet fleet = new Fleet(30);
     fleet.run(600);
     List<Member> members = fleet.routers.stream().map(router -> router.member).toList();
     List<Router> relays =
         RelaySelector.ranked(FailureDomain.of("domain-1"), members).stream()
-            .limit(4)
+            .limit(count)
             .map(member -> fleet.byName.get(member.name()))
             .toList();
     relays.forEach(relay -> relay.stopped = true);
-    fleet.run(4_000);
+    fleet.run(stoppedMs);
     fleet.assertAllKnow(fleet.routers.stream().filter(router -> !relays.contains(router)).toList());
 
     relays.forEach(relay -> relay.stopped = false);
