Take a relay for silent only after passes over the sockets

What callers would see: a busy router knows only what it grants itself, gives its team's requests to itself as the scheduler, and names itself alone. Evidence: busyRouterKeepsItsRelay failed before (seven relays in turn). Why it works: the relay is silent only if three passes over the sockets have brought nothing from it. Reports still lapse by the clock: what shows that a router lives must not outlast it.

--- a/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
@@ -16,6 +16,7 @@
 import org.dandelionbeam.routing.FleetCounters;
 import org.dandelionbeam.routing.FleetMembers.Member;
 import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.LoopTime;
 import org.dandelionbeam.routing.RouterName;
 import org.dandelionbeam.routing.StoreVersions;
 import org.dandelionbeam.routing.TeamUsage;
@@ -69,7 +70,8 @@
   private long rankedRevision = -1;
   private long sequence;
   private RouterName currentRelay;
-  private long relayHeardNanos;
+  private LoopTime lastTick = new LoopTime(0, 0);
+  private LoopTime relayHeard = lastTick;
   private boolean relayEverHeard;
   private boolean anyRelayReadsStore;
   private long searchedNanos;
@@ -107,6 +109,7 @@
    */
   public List<Outgoing> tick() {
     long now = fleet.nowNanos();
+    lastTick = lastTick.next(now);
     routerReports.values().removeIf(report -> report.isOlderThan(REPORT_MAX_AGE, now));
     relayReports.values().removeIf(report -> report.isOlderThan(REPORT_MAX_AGE, now));
     fleet.members().removeUnregistered(now);
@@ -158,7 +161,7 @@
   /** Returns the preferred relay of this router's domain that is not silent. */
   private Member selectRelay(long now) {
     boolean silent =
-        !currentRelay.equals(self().name()) && now - relayHeardNanos > RELAY_TIMEOUT.toNanos();
+        !currentRelay.equals(self().name()) && relayHeard.isOverdue(RELAY_TIMEOUT, lastTick);
     if (silent) {
       avoidedUntilNanos.put(currentRelay, now + RELAY_RETRY_DELAY.toNanos());
     }
@@ -170,7 +173,7 @@
             .orElse(self());
     if (!selected.name().equals(currentRelay)) {
       currentRelay = selected.name();
-      relayHeardNanos = now;
+      relayHeard = lastTick;
       relayEverHeard = false;
     }
     return selected;
@@ -329,7 +332,7 @@
         && routerReports.isEmpty()
         && relayEverHeard
         && anyRelayReadsStore
-        && fleet.nowNanos() - relayHeardNanos <= RELAY_TIMEOUT.toNanos();
+        && !relayHeard.isOverdue(RELAY_TIMEOUT, lastTick.at(fleet.nowNanos()));
   }
 
   /**
@@ -383,7 +386,7 @@
     fleet.staleStateDetector().recordPeerVersions(report.versions());
     recordStoreFailure(report.storeFailed(), now);
     if (report.relay().equals(currentRelay)) {
-      relayHeardNanos = now;
+      relayHeard = lastTick.at(now);
       relayEverHeard = true;
       anyRelayReadsStore = report.readsStore();
     }
--- a/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
+++ b/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
@@ -228,6 +228,27 @@
     }
   }
 
+  // Guards against a busy router that reads the answers of its relay late, takes it for dead and
+  // no longer knows what the others report.
+  @Test
+  public void busyRouterKeepsItsRelay() {
+    Fleet fleet = new Fleet(30);
+    fleet.run(2_000);
+    Router relay = fleet.relayOf(0);
+    Router busy =
+        fleet.routers.stream()
+            .filter(
+                router -> router != relay && router.member.domain().equals(relay.member.domain()))
+            .findFirst()
+            .orElseThrow();
+    for (int i = 0; i < 20; i++) {
+      busy.lateUntilMs = fleet.nowMs + 650;
+      fleet.run(700);
+    }
+
+    assertEquals(busy.relays, Set.of(relay.member.name()));
+  }
+
   @Test
   public void relayThatStopsIsReplaced() {
     Fleet fleet = new Fleet(30);
