Estimate a team's wait by what it could be granted beside the others

What callers saw: a team that asks for ten times as much is refused for some seconds while a team with far more usage is served. Cause: a request was refused by the rate at which its team was granted lately, or by an even part among all active teams, tiny ones included. The team goes first in the order, so neither bounds it. Change: the rate is what the team can get beside the others: an even part of what those with less leave (max-min). Not the cause of the users' report: in this model the team got its share before too.

--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -342,8 +342,8 @@
 
   /**
    * Returns the time until the waiting requests of the same team have been granted, at the rate at
-   * which the team's requests were granted lately. Requests of other teams that arrive later may go
-   * before them.
+   * which the team's requests were granted lately or could be granted beside those of the others.
+   * Requests of other teams that arrive later may go before them.
    */
   private long teamWaitNanos(Ticket ticket, List<Ticket> queue, ServiceSpec spec) {
     long work = 0;
@@ -354,11 +354,9 @@
       return 0;
     }
     TeamThroughput throughput = throughputOf(ticket.service());
-    double evenRate =
-        1
-            / (waitNanosOf(1, ticket.service(), spec)
-                * (throughput.activeTeams(fleet.nowNanos()) + 1));
-    double rate = Math.max(evenRate, throughput.rate(ticket.team(), fleet.nowNanos()));
+    double capacity = 1 / waitNanosOf(1, ticket.service(), spec);
+    double fairRate = throughput.fairRate(ticket.team(), capacity, fleet.nowNanos());
+    double rate = Math.max(fairRate, throughput.rate(ticket.team(), fleet.nowNanos()));
     return (long) (work / rate);
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/TeamThroughput.java
+++ b/library/src/main/java/org/dandelionbeam/routing/TeamThroughput.java
@@ -25,9 +25,27 @@
     return amount == null ? 0 : amount.valueAt(nowNanos) * Math.log(2) / HALF_LIFE.toNanos();
   }
 
-  /** Returns the number of teams that were granted work lately. */
-  int activeTeams(long nowNanos) {
+  /**
+   * Returns the work per nanosecond that a team can get beside the others: an even part of what
+   * those with less leave of the capacity.
+   */
+  double fairRate(TeamName team, double capacity, long nowNanos) {
     granted.values().removeIf(amount -> amount.valueAt(nowNanos) < 1);
-    return granted.size();
+    double[] others =
+        granted.keySet().stream()
+            .filter(other -> !other.equals(team))
+            .mapToDouble(other -> rate(other, nowNanos))
+            .sorted()
+            .toArray();
+    double left = capacity;
+    int teams = others.length + 1;
+    for (double rate : others) {
+      if (rate >= left / teams) {
+        break;
+      }
+      left -= rate;
+      teams--;
+    }
+    return left / teams;
   }
 }
--- a/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
@@ -60,6 +60,8 @@
   private int instances;
   private List<Runnable> sent = new ArrayList<>();
   private double lossRatio;
+  private double requestCostMs;
+  private double messageCostMs;
   private long nowMs;
   private long lastTicketNumber;
 
@@ -202,12 +204,19 @@
     lossRatio = ratio;
   }
 
+  /** Sets the time for which a request of a caller and a message keep the event loop busy. */
+  void processingCost(double newRequestCostMs, double newMessageCostMs) {
+    requestCostMs = newRequestCostMs;
+    messageCostMs = newMessageCostMs;
+  }
+
   /**
    * Advances the time by one millisecond: engines prefill, routers exchange messages and decide.
    */
   public void step() {
     nowMs++;
     for (Router router : routers) {
+      router.backlogMs = Math.max(0, router.backlogMs - 1);
       if (router.runs()) {
         router.state.advanceTo(nowMs * MS, nowMs);
       }
@@ -275,6 +284,7 @@
     private final List<Runnable> pending = new ArrayList<>();
 
     private long lateUntilMs;
+    private double backlogMs;
     private boolean reportDue;
     private boolean tickDue;
 
@@ -315,12 +325,12 @@
 
     /** Tells whether the event loop of the router gets on. */
     public boolean runs() {
-      return !stopped && nowMs >= lateUntilMs;
+      return !stopped && nowMs >= lateUntilMs && backlogMs < 1;
     }
 
     /** Reads a message now, or when the event loop gets on. */
     private void read(Runnable receipt) {
-      if (nowMs > lateUntilMs) {
+      if (nowMs > lateUntilMs && backlogMs < 1) {
         receipt.run();
       } else {
         pending.add(receipt);
@@ -331,6 +341,7 @@
       if (nowMs > lateUntilMs) {
         List<Runnable> read = List.copyOf(pending);
         pending.clear();
+        backlogMs += read.size() * messageCostMs;
         read.forEach(Runnable::run);
       }
     }
@@ -349,6 +360,7 @@
     /** Submits a request; returns its ticket, whose decisions are recorded as they come. */
     public Ticket submit(String team, PromptProfile profile, long objectiveMs) {
       lastTicketNumber++;
+      backlogMs += requestCostMs;
       Ticket ticket =
           Ticket.builder(lastTicketNumber)
               .request(MODEL, TeamName.of(team), profile)
--- a/library/src/test/java/org/dandelionbeam/routing/TeamShareTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/TeamShareTest.java
@@ -104,4 +104,41 @@
         narrow >= UNFAIR_SHARE * Math.min(asked, wide),
         "narrow asked " + asked + " and got " + narrow + ", wide got " + wide);
   }
+
+  private static final int SMALL_TEAMS = 24;
+  private static final double SMALL_LOAD = 0.01;
+
+  /** Seed, engines, sessions of the team, its load before and after it becomes hot. */
+  @DataProvider
+  public Object[][] heatedTeams() {
+    return new Object[][] {
+      {1L, 20, 8, 0.01, 0.1},
+      {2L, 20, 8, 0.01, 0.2},
+      {3L, 20, 40, 0.005, 0.2},
+      {1L, 60, 8, 0.005, 0.1},
+      {2L, 60, 40, 0.005, 0.2},
+    };
+  }
+
+  // Guards against a team that is refused by the rate at which it was served before it asked for
+  // more, while a team with far more usage is served.
+  @Test(dataProvider = "heatedTeams")
+  public void teamThatAsksForMoreIsNotRefusedByItsPast(
+      long seed, int engines, int sessions, double loadBefore, double loadAfter) {
+    Load load = new Load(seed, engines);
+    int asked = 0;
+    for (int ms = 0; ms < WARM_UP_MS + MEASURED_MS; ms++) {
+      load.submit("wide", WIDE_LOAD, SESSIONS_PER_ENGINE * engines);
+      for (int i = 0; i < SMALL_TEAMS; i++) {
+        load.submit("small-" + i, SMALL_LOAD, 2);
+      }
+      boolean hot = ms >= WARM_UP_MS;
+      int submitted = load.submit("heated", hot ? loadAfter : loadBefore, sessions);
+      asked += hot ? submitted : 0;
+      load.fleet.step();
+    }
+
+    int refused = load.fleet.sum(router -> router.refused, "heated");
+    assertTrue(refused < 0.02 * asked, "refused " + refused + " of " + asked);
+  }
 }
