Use a cold upstream's rate only some time after a majority came in sight

What an upstream would see: up to 27 requests in a second while cold, allowed are 21, when two parts of the fleet reach each other again. Cause: the scheduler of the smaller part, if it is the first of the whole fleet, saw a majority at once and its list of schedulers had not changed, while that of the larger part went on until it knew. The time of a handover was counted from a change of schedulers only. Why it works: the time of a handover is counted from the majority too.

--- a/library/src/main/java/org/dandelionbeam/scheduling/ScheduledUpstreams.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/ScheduledUpstreams.java
@@ -22,8 +22,9 @@
   private static final Duration REQUESTED_MAX_AGE = Duration.ofMillis(1_500);
 
   /**
-   * Time after which the earlier schedulers of a service no longer grant requests, and those that
-   * they granted have left the window in which cold upstreams count them.
+   * Time after which the earlier schedulers of a service, or those of another part of the fleet
+   * that can be reached again, no longer grant requests, and those that they granted have left the
+   * window in which cold upstreams count them.
    */
   private static final Duration HANDOVER_TIME = Duration.ofMillis(2_500);
 
@@ -34,6 +35,8 @@
   private final Map<ServiceName, Schedulers> schedulers = new HashMap<>();
   private SchedulerAssignment assignment;
   private long upstreamsRevision = -1;
+  private boolean majoritySeen;
+  private long majoritySinceNanos;
 
   private ScheduledUpstreams(FleetState fleet) {
     this.fleet = requireNonNull(fleet, "fleet");
@@ -77,11 +80,17 @@
   }
 
   /**
-   * Forgets the upstreams that no router has asked for lately.
+   * Forgets the upstreams that no router has asked for lately, and notes since when this router
+   * sees a majority; to be called several times a second.
    *
    * @param nowNanos monotonic time
    */
   public void expire(long nowNanos) {
+    boolean seesMajority = seesMajority(nowNanos);
+    if (seesMajority && !majoritySeen) {
+      majoritySinceNanos = nowNanos;
+    }
+    majoritySeen = seesMajority;
     if (requested.values().removeIf(at -> nowNanos - at > REQUESTED_MAX_AGE.toNanos())) {
       byService.clear();
     }
@@ -138,7 +147,9 @@
         && nowNanos - known.sinceNanos >= HANDOVER_TIME.toNanos()
         && fleet.hasRunFor(HANDOVER_TIME)
         && isAssigned(upstream, count)
-        && seesMajority(nowNanos);
+        && seesMajority(nowNanos)
+        && majoritySeen
+        && nowNanos - majoritySinceNanos >= HANDOVER_TIME.toNanos();
   }
 
   /**
