Keep the rate limits that upstreams name in their responses

Cause: nothing read Server-Limit. It is a right of the whole fleet that nobody held. Change: the limit is decoded, believed with the age of the response and spread by the reports; the scheduler of the engine spreads its grants by a token bucket. The right goes by the available routers: one that is only avoided keeps it, one that is asked in its place does not have it. Waits are estimated with what the limits leave; what no upstream takes in time is refused at once.

--- a/library/src/main/java/org/dandelionbeam/routing/FleetState.java
+++ b/library/src/main/java/org/dandelionbeam/routing/FleetState.java
@@ -22,7 +22,8 @@
   private final PromptBlame promptBlame = PromptBlame.create();
   private final PrefixCacheModel prefixCaches = PrefixCacheModel.create();
   private final Map<ServiceName, PrefillRateEstimator> prefillRates = new HashMap<>();
-  private final ColdRateLimiter coldRateLimiter;
+  private final UpstreamRateLimiter rateLimiter;
+  private final RateLimits rateLimits = RateLimits.create();
   private final RetryBudget retryBudget;
   private final FleetMembers members;
   private final StaleStateDetector staleStateDetector = StaleStateDetector.create();
@@ -34,7 +35,7 @@
   private long nowNanos;
 
   private FleetState(FleetLimits limits, FleetMembers members) {
-    coldRateLimiter = ColdRateLimiter.of(limits);
+    rateLimiter = UpstreamRateLimiter.of(limits);
     retryBudget = RetryBudget.of(limits, members.self().name().number());
     this.members = requireNonNull(members, "members");
   }
@@ -222,12 +223,21 @@
   }
 
   /**
-   * Returns the limiter of requests to cold upstreams.
+   * Returns the limiter of requests to upstreams that are cold or have named a limit.
    *
    * @return the limiter
    */
-  public ColdRateLimiter coldRateLimiter() {
-    return coldRateLimiter;
+  public UpstreamRateLimiter rateLimiter() {
+    return rateLimiter;
+  }
+
+  /**
+   * Returns the rate limits that upstreams have named.
+   *
+   * @return the limits
+   */
+  public RateLimits rateLimits() {
+    return rateLimits;
   }
 
   /**
--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -45,6 +45,11 @@
 
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(2);
 
+  /** Upstreams lift their limits after some time, so a longer wait would be a guess. */
+  private static final Duration MAX_LIMIT_WAIT = Duration.ofSeconds(10);
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
   /** Typical duration of a request to a plain service, after which a slot is free again. */
   private static final Duration PLAIN_REQUEST_TIME = Duration.ofMillis(80);
 
@@ -106,8 +111,10 @@
     }
     long wait =
         Math.max(
-            waitNanos(ahead, ticket.service(), spec.get()),
-            teamWaitNanos(ticket, queue, spec.get()));
+            Math.max(
+                waitNanos(ahead, ticket.service(), spec.get()),
+                teamWaitNanos(ticket, queue, spec.get())),
+            limitWaitNanos(ticket));
     if (wait > Math.min(maxWaitNanos(ticket), objectiveWaitNanos(ticket))) {
       return refusal(ticket, Decision.RefusalReason.OVERLOADED);
     }
@@ -115,6 +122,11 @@
     return new Decision.Waiting(ticket);
   }
 
+  /** Returns the time until the rate limits of the upstreams allow a request. */
+  private long limitWaitNanos(Ticket ticket) {
+    return selector.timeUntilWithinLimits(ticket, fleet.nowNanos()).toNanos();
+  }
+
   private Optional<Duration> remainingBlame(Ticket ticket) {
     return fleet.promptBlame().remainingBlame(ticket.prompt(), fleet.nowNanos());
   }
@@ -238,7 +250,7 @@
     Ticket ticket = grant.ticket();
     int number = grant.instance().number();
     fleet.loads().add(number, grant.addedLoad());
-    fleet.coldRateLimiter().recordSent(grant.instance().id(), fleet.nowNanos());
+    fleet.rateLimiter().recordSent(grant.instance().id(), fleet.nowNanos());
     fleet.prefixCaches().recordSent(ticket.prompt(), number, fleet.nowNanos());
     fleet.usage().recordUsage(ticket.team(), ticket.cost(), fleet.nowNanos());
     throughputOf(ticket.service()).recordGrant(ticket.team(), workOf(ticket), fleet.nowNanos());
@@ -313,31 +325,45 @@
         specOf(ticket.service())
             .map(spec -> Duration.ofNanos(waitNanos(queue, ticket.service(), spec)))
             .orElse(Decision.MIN_RETRY_AFTER);
-    Duration atLeast =
-        wait.compareTo(Decision.MIN_RETRY_AFTER) < 0 ? Decision.MIN_RETRY_AFTER : wait;
-    Duration bounded = atLeast.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : atLeast;
-    return new Decision.Refused(ticket, reason, bounded);
+    Duration bounded = longest(Decision.MIN_RETRY_AFTER, shortest(MAX_RETRY_AFTER, wait));
+    Duration limitWait = shortest(MAX_LIMIT_WAIT, Duration.ofNanos(limitWaitNanos(ticket)));
+    return new Decision.Refused(ticket, reason, longest(bounded, limitWait));
+  }
+
+  private static Duration longest(Duration a, Duration b) {
+    return a.compareTo(b) > 0 ? a : b;
+  }
+
+  private static Duration shortest(Duration a, Duration b) {
+    return a.compareTo(b) < 0 ? a : b;
   }
 
   /** Returns the time until the given waiting requests have been served. */
   private long waitNanos(List<Ticket> queue, ServiceName service, ServiceSpec spec) {
-    long work = queue.stream().mapToLong(Scheduler::workOf).sum();
-    return (long) (work * waitNanosOf(1, service, spec));
+    if (queue.isEmpty()) {
+      return 0;
+    }
+    double work = queue.stream().mapToLong(Scheduler::workOf).sum();
+    return (long) (work / capacity(service, spec, work / queue.size()));
   }
 
-  /** Returns the time in which the upstreams together do some work. */
-  private double waitNanosOf(double work, ServiceName service, ServiceSpec spec) {
-    if (spec.engine().isEmpty()) {
-      return work * PLAIN_REQUEST_TIME.toNanos() / Math.max(1, slotsOf(service));
+  /** Returns the work that the upstreams do together in a nanosecond, for requests of a size. */
+  private double capacity(ServiceName service, ServiceSpec spec, double workPerRequest) {
+    double sum = 0;
+    for (UpstreamInstance upstream : scope.upstreams(service)) {
+      RateLimit limit = fleet.rateLimits().limitOf(upstream.number(), fleet.nowNanos());
+      double allowed = limit.usedPerSecond() / NANOS_PER_SECOND * workPerRequest;
+      sum += Math.min(allowed, capacity(service, spec, upstream.slots()));
     }
-    double engines = Math.max(1, scope.upstreams(service).size());
-    return fleet.prefillRate(service).prefillNanos(PREFILL_SAMPLE_TOKENS)
-        * work
-        / (PREFILL_SAMPLE_TOKENS * engines);
+    return sum > 0 ? sum : capacity(service, spec, 1);
   }
 
-  private int slotsOf(ServiceName service) {
-    return scope.upstreams(service).stream().mapToInt(UpstreamInstance::slots).sum();
+  /** Returns the work that an upstream without a limit does in a nanosecond. */
+  private double capacity(ServiceName service, ServiceSpec spec, int slots) {
+    return spec.engine().isPresent()
+        ? (double) PREFILL_SAMPLE_TOKENS
+            / fleet.prefillRate(service).prefillNanos(PREFILL_SAMPLE_TOKENS)
+        : (double) Math.max(1, slots) / PLAIN_REQUEST_TIME.toNanos();
   }
 
   /**
@@ -354,7 +380,7 @@
       return 0;
     }
     TeamThroughput throughput = throughputOf(ticket.service());
-    double capacity = 1 / waitNanosOf(1, ticket.service(), spec);
+    double capacity = capacity(ticket.service(), spec, workOf(ticket));
     double fairRate = throughput.fairRate(ticket.team(), capacity, fleet.nowNanos());
     double rate = Math.max(fairRate, throughput.rate(ticket.team(), fleet.nowNanos()));
     return (long) (work / rate);
--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamScope.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamScope.java
@@ -21,4 +21,12 @@
    * @return false while an earlier scheduler may still use the limit of the cold upstream
    */
   boolean mayUseWhileCold(UpstreamInstance upstream, long nowNanos);
+
+  /**
+   * Tells whether this scheduler may send requests to an upstream that has named a rate limit.
+   *
+   * @param upstream the upstream
+   * @return false if the limit is another scheduler's to use
+   */
+  boolean mayUseWhileLimited(UpstreamInstance upstream);
 }
--- a/library/src/main/java/org/dandelionbeam/routing/UpstreamSelector.java
+++ b/library/src/main/java/org/dandelionbeam/routing/UpstreamSelector.java
@@ -81,6 +81,9 @@
    */
   private static final double MIN_AWAITED_RATIO = 2;
 
+  /** Time in which a router that asked the wrong scheduler finds the assigned one. */
+  private static final Duration ASSIGNMENT_TIME = Duration.ofSeconds(2);
+
   /** Usage relative to the team with most usage below which a team is behind. */
   private static final double BEHIND_RATIO = 0.7;
 
@@ -117,6 +120,24 @@
     return healthy.isEmpty() ? notExcluded : healthy;
   }
 
+  /** Returns the time until an upstream may get the request as far as rate limits are concerned. */
+  Duration timeUntilWithinLimits(Ticket ticket, long nowNanos) {
+    return candidates(ticket, nowNanos).stream()
+        .map(instance -> timeUntilWithinLimit(instance, nowNanos))
+        .min(Duration::compareTo)
+        .orElse(Duration.ZERO);
+  }
+
+  private Duration timeUntilWithinLimit(UpstreamInstance instance, long nowNanos) {
+    RateLimit limit = fleet.rateLimits().limitOf(instance.number(), nowNanos);
+    if (limit.isNone()) {
+      return Duration.ZERO;
+    }
+    return scope.mayUseWhileLimited(instance)
+        ? fleet.rateLimiter().waitFor(instance.id(), limit, nowNanos)
+        : ASSIGNMENT_TIME;
+  }
+
   /** Where a request goes. */
   sealed interface Placement {
 
@@ -249,23 +270,17 @@
       PrefixLocation prefix,
       AwaitedWork awaited,
       long nowNanos) {
-    boolean cold = fleet.upstreams().isCold(instance.id(), nowNanos);
-    boolean withinColdRate =
-        !cold
-            || spec.coldRequestsPerSecond() <= 0
-            || (scope.mayUseWhileCold(instance, nowNanos)
-                && fleet
-                    .coldRateLimiter()
-                    .allows(instance.id(), spec.coldRequestsPerSecond(), nowNanos));
+    boolean withinRate =
+        isWithinColdRate(spec, instance, nowNanos) && isWithinNamedLimit(instance, nowNanos);
     int number = instance.number();
     UpstreamLoad load = fleet.loads().load(number);
     Candidate candidate =
         spec.engine().isPresent() && ticket.prompt().isModelRequest()
             ? engineCandidate(ticket, spec.engine().get(), instance, load, prefix, awaited)
             : plainCandidate(instance, load);
-    candidate.hasCapacity &= withinColdRate;
-    candidate.hasRoom &= withinColdRate;
-    candidate.meetsObjective &= withinColdRate;
+    candidate.hasCapacity &= withinRate;
+    candidate.hasRoom &= withinRate;
+    candidate.meetsObjective &= withinRate;
     boolean otherDomain =
         ticket.domain().isPresent() && !ticket.domain().get().equals(instance.domain());
     if (otherDomain) {
@@ -274,6 +289,18 @@
     return candidate;
   }
 
+  private boolean isWithinColdRate(ServiceSpec spec, UpstreamInstance instance, long nowNanos) {
+    double perSecond = spec.coldRequestsPerSecond();
+    return perSecond <= 0
+        || !fleet.upstreams().isCold(instance.id(), nowNanos)
+        || (scope.mayUseWhileCold(instance, nowNanos)
+            && fleet.rateLimiter().allowsWhileCold(instance.id(), perSecond, nowNanos));
+  }
+
+  private boolean isWithinNamedLimit(UpstreamInstance instance, long nowNanos) {
+    return timeUntilWithinLimit(instance, nowNanos).isZero();
+  }
+
   private Candidate plainCandidate(UpstreamInstance instance, UpstreamLoad load) {
     Candidate candidate = new Candidate(instance, new UpstreamLoad(1, 0, 0), 0);
     candidate.cost = load.inFlight() + ERROR_COST_REQUESTS * health.errorRate(instance.id());
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -87,6 +87,7 @@
     metrics.gauge("waiting_requests", () -> scheduling.service().waitingCount());
     metrics.gauge("upstream_connections_opened", pool::openedCount);
     metrics.gauge("accepted_connections", context::acceptedConnections);
+    metrics.gauge("limited_upstreams", () -> fleet.rateLimits().count(fleet.nowNanos()));
     metrics.gauge("blamed_prompt_parts", stateLog::blamedPartCount);
   }
 
@@ -203,7 +204,7 @@
     for (InstanceId expired : context.fleet().upstreams().removeExpired(now)) {
       context.log().line("upstream_gone").with("upstream", expired).with("why", "lapsed").write();
       context.fleet().health().forget(expired);
-      context.fleet().coldRateLimiter().forget(expired);
+      context.fleet().rateLimiter().forget(expired);
     }
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/HttpDialect.java
@@ -12,6 +12,7 @@
 import org.dandelionbeam.routing.Endpoint;
 import org.dandelionbeam.routing.InstanceId;
 import org.dandelionbeam.routing.PromptProfile;
+import org.dandelionbeam.routing.RateLimit;
 import org.dandelionbeam.routing.TeamName;
 
 /** Translates between the router and the HTTP headers of callers and upstreams. */
@@ -112,6 +113,7 @@
    * @param idleTimeout how long the upstream keeps an idle connection, empty if not given
    * @param coldRemaining how much longer the upstream is cold, empty if not given
    * @param rest how long the upstream wants no requests from this router, empty if not given
+   * @param limit rate limit that the upstream names, empty if what it says can't be used
    * @param leaving whether the upstream states that it shuts down and takes no new requests
    */
   record ResponseMetadata(
@@ -121,5 +123,6 @@
       Optional<Duration> idleTimeout,
       Optional<Duration> coldRemaining,
       Optional<Duration> rest,
+      Optional<RateLimit> limit,
       boolean leaving) {}
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
@@ -11,6 +11,8 @@
 import org.dandelionbeam.routing.Endpoint;
 import org.dandelionbeam.routing.FleetCounters;
 import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.RateLimit;
+import org.dandelionbeam.routing.RateLimits;
 import org.dandelionbeam.routing.RetryCounts;
 import org.dandelionbeam.routing.RouterName;
 import org.dandelionbeam.routing.StoreVersions;
@@ -39,6 +41,7 @@
       packer.packBoolean(report.storeFailed());
       PeerMessageCodec.packNumbers(packer, report.leavingUpstreams());
       packBlamed(packer, report.blamedParts());
+      packLimits(packer, report.limits());
       packVersions(packer, report.versions());
       packCounters(packer, report.counters());
     } else if (message instanceof RelayReport report) {
@@ -50,6 +53,7 @@
       packer.packBoolean(report.storeFailed());
       PeerMessageCodec.packNumbers(packer, report.leavingUpstreams());
       packBlamed(packer, report.blamedParts());
+      packLimits(packer, report.limits());
       packVersions(packer, report.versions());
       packCounters(packer, report.counters());
     } else if (message instanceof FleetReport report) {
@@ -62,6 +66,7 @@
       packer.packBoolean(report.storeFailed());
       PeerMessageCodec.packNumbers(packer, report.leavingUpstreams());
       packBlamed(packer, report.blamedParts());
+      packLimits(packer, report.limits());
       packVersions(packer, report.versions());
       packCounters(packer, report.counters());
     }
@@ -79,6 +84,7 @@
               unpacker.unpackBoolean(),
               PeerMessageCodec.unpackNumbers(unpacker),
               unpackBlamed(unpacker),
+              unpackLimits(unpacker),
               unpackVersions(unpacker),
               unpackCounters(unpacker));
       case RELAY_REPORT ->
@@ -90,6 +96,7 @@
               unpacker.unpackBoolean(),
               PeerMessageCodec.unpackNumbers(unpacker),
               unpackBlamed(unpacker),
+              unpackLimits(unpacker),
               unpackVersions(unpacker),
               unpackCounters(unpacker));
       case FLEET_REPORT ->
@@ -102,6 +109,7 @@
               unpacker.unpackBoolean(),
               PeerMessageCodec.unpackNumbers(unpacker),
               unpackBlamed(unpacker),
+              unpackLimits(unpacker),
               unpackVersions(unpacker),
               unpackCounters(unpacker));
       default -> throw new IOException("unknown type of report: " + type);
@@ -238,4 +246,27 @@
     }
     return parts;
   }
+
+  private static void packLimits(MessagePacker packer, Map<Integer, RateLimits.Reported> limits)
+      throws IOException {
+    packer.packMapHeader(limits.size());
+    for (Map.Entry<Integer, RateLimits.Reported> entry : limits.entrySet()) {
+      packer.packInt(entry.getKey());
+      packer.packFloat((float) entry.getValue().limit().perSecond());
+      packer.packLong(entry.getValue().age().toMillis());
+    }
+  }
+
+  private static Map<Integer, RateLimits.Reported> unpackLimits(MessageUnpacker unpacker)
+      throws IOException {
+    int size = unpacker.unpackMapHeader();
+    Map<Integer, RateLimits.Reported> limits = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      limits.put(
+          unpacker.unpackInt(),
+          new RateLimits.Reported(
+              new RateLimit(unpacker.unpackFloat()), Duration.ofMillis(unpacker.unpackLong())));
+    }
+    return limits;
+  }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamFeedback.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamFeedback.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
 import java.util.Set;
+import org.dandelionbeam.routing.RateLimit;
 import org.dandelionbeam.routing.UpstreamInstance;
 
 /** Takes over what an upstream says of itself in the head of a response. */
@@ -25,6 +26,7 @@
     metadata
         .coldRemaining()
         .ifPresent(cold -> router.fleet().upstreams().markCold(upstream.id(), cold, router.now()));
+    metadata.limit().ifPresent(limit -> recordLimit(upstream, limit));
     if (metadata.leaving()) {
       recordLeaving(upstream);
     }
@@ -33,6 +35,20 @@
     }
   }
 
+  private void recordLimit(UpstreamInstance upstream, RateLimit limit) {
+    boolean changed =
+        router.fleet().rateLimits().recordResponse(upstream.number(), limit, router.now());
+    if (changed) {
+      router
+          .log()
+          .line("upstream_limited")
+          .with("upstream", upstream.id())
+          .with("per_second", limit.isNone() ? "any" : String.valueOf(limit.perSecond()))
+          .write();
+      router.scheduling().schedulePoll();
+    }
+  }
+
   private void recordRest(
       UpstreamInstance upstream, HttpResponse head, HttpDialect.ResponseMetadata metadata) {
     String requested = head.headers().get(HttpHeaderNames.RETRY_AFTER);
--- a/library/src/main/java/org/dandelionbeam/scheduling/ScheduledUpstreams.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/ScheduledUpstreams.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +35,7 @@
   private final Map<ServiceName, List<UpstreamInstance>> byService = new HashMap<>();
   private final Map<ServiceName, Schedulers> schedulers = new HashMap<>();
   private SchedulerAssignment assignment;
+  private SchedulerAssignment holders;
   private long upstreamsRevision = -1;
   private boolean majoritySeen;
   private long majoritySinceNanos;
@@ -42,6 +44,7 @@
     this.fleet = requireNonNull(fleet, "fleet");
     self = fleet.members().self().name();
     assignment = SchedulerAssignment.of(List.of(fleet.members().self()));
+    holders = assignment;
   }
 
   /**
@@ -67,6 +70,22 @@
     }
   }
 
+  /**
+   * Takes over changes of the available routers, on which it depends who may use the limits that
+   * upstreams name. A scheduler that others only avoid, since it answers late, may still use them.
+   *
+   * @param nowNanos monotonic time
+   */
+  public void refreshHolders(long nowNanos) {
+    List<Member> available =
+        fleet.members().available(nowNanos).stream()
+            .sorted(Comparator.comparing(Member::name))
+            .toList();
+    if (!available.equals(holders.members())) {
+      holders = SchedulerAssignment.of(available);
+    }
+  }
+
   /**
    * Records that a router asks this one to schedule an upstream.
    *
@@ -152,6 +171,12 @@
         && nowNanos - majoritySinceNanos >= HANDOVER_TIME.toNanos();
   }
 
+  @Override
+  public boolean mayUseWhileLimited(UpstreamInstance upstream) {
+    int count = fleet.upstreams().usable(upstream.service()).size();
+    return holders.schedulerOf(upstream, count).name().equals(self);
+  }
+
   /**
    * Tells whether more than half of the registered routers are available. Of the parts of a fleet
    * that can't reach each other, at most one sees so many.
--- a/library/src/main/java/org/dandelionbeam/scheduling/SchedulerService.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/SchedulerService.java
@@ -288,6 +288,7 @@
   public void expire() {
     long now = fleet.nowNanos();
     upstreams.expire(now);
+    upstreams.refreshHolders(now);
     crashDetector
         .findGone(number -> fleet.upstreams().find(number).isPresent(), now)
         .forEach(this::recordCrash);
--- a/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
@@ -154,6 +154,7 @@
         fleet.hasStoreFailed(),
         fleet.upstreams().leaving(),
         fleet.promptBlame().blamed(now),
+        fleet.rateLimits().known(now),
         fleet.storeVersions(),
         counters);
   }
@@ -234,6 +235,7 @@
         total.storeFailed(),
         total.leavingUpstreams(),
         total.blamedParts(),
+        total.limits(),
         total.versions(),
         total.counters());
   }
@@ -272,6 +274,7 @@
         storeFailed,
         fleet.upstreams().leaving(),
         fleet.promptBlame().blamed(now),
+        fleet.rateLimits().known(now),
         versions,
         sum.total());
   }
@@ -297,6 +300,7 @@
         storeFailed,
         fleet.upstreams().leaving(),
         fleet.promptBlame().blamed(now),
+        fleet.rateLimits().known(now),
         versions,
         sum.total());
   }
@@ -365,6 +369,7 @@
   private void receiveRouterReport(RouterReport report, long now) {
     fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
     fleet.promptBlame().recordBlamed(report.blamedParts(), now);
+    fleet.rateLimits().recordReported(report.limits(), now);
     fleet.staleStateDetector().recordPeerVersions(report.versions());
     fleet.members().recordReport(report.sender(), report.serving(), now);
     routerReports.put(report.sender().name(), new Received<>(report, now));
@@ -373,6 +378,7 @@
   private void receiveRelayReport(RelayReport report, long now) {
     fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
     fleet.promptBlame().recordBlamed(report.blamedParts(), now);
+    fleet.rateLimits().recordReported(report.limits(), now);
     fleet.staleStateDetector().recordPeerVersions(report.versions());
     report.serving().forEach(number -> fleet.members().recordPresent(number, true, now));
     report.leaving().forEach(number -> fleet.members().recordPresent(number, false, now));
@@ -383,6 +389,7 @@
   private void receiveFleetReport(FleetReport report, long now) {
     fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
     fleet.promptBlame().recordBlamed(report.blamedParts(), now);
+    fleet.rateLimits().recordReported(report.limits(), now);
     fleet.staleStateDetector().recordPeerVersions(report.versions());
     recordStoreFailure(report.storeFailed(), now);
     if (report.relay().equals(currentRelay)) {
--- a/library/src/main/java/org/dandelionbeam/summary/SummaryMessage.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryMessage.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.dandelionbeam.routing.FleetCounters;
 import org.dandelionbeam.routing.FleetMembers.Member;
+import org.dandelionbeam.routing.RateLimits;
 import org.dandelionbeam.routing.RouterName;
 import org.dandelionbeam.routing.StoreVersions;
 
@@ -24,6 +25,7 @@
    * @param storeFailed whether a call of the router to the store has failed lately
    * @param leavingUpstreams numbers of the upstreams that it knows to leave
    * @param blamedParts time until the blame ends, by hash of the part of prompts that it blames
+   * @param limits rate limits that upstreams have named, by number of the upstream
    * @param versions versions of the data that it has read from the store
    * @param counters its own part of the sums
    */
@@ -35,6 +37,7 @@
       boolean storeFailed,
       Set<Integer> leavingUpstreams,
       Map<Long, Duration> blamedParts,
+      Map<Integer, RateLimits.Reported> limits,
       StoreVersions versions,
       FleetCounters counters)
       implements SummaryMessage {
@@ -43,6 +46,7 @@
       requireNonNull(sender, "sender");
       leavingUpstreams = Set.copyOf(leavingUpstreams);
       blamedParts = Map.copyOf(blamedParts);
+      limits = Map.copyOf(limits);
     }
   }
 
@@ -56,6 +60,7 @@
    * @param storeFailed whether a call of any of them to the store has failed lately
    * @param leavingUpstreams numbers of the upstreams that these routers know to leave
    * @param blamedParts parts of prompts that the relay blames, as in a router's report
+   * @param limits rate limits that the relay knows, as in a router's report
    * @param versions newest versions that any of these routers has read
    * @param counters sum of the counters of these routers
    */
@@ -67,6 +72,7 @@
       boolean storeFailed,
       Set<Integer> leavingUpstreams,
       Map<Long, Duration> blamedParts,
+      Map<Integer, RateLimits.Reported> limits,
       StoreVersions versions,
       FleetCounters counters)
       implements SummaryMessage {
@@ -77,6 +83,7 @@
       leaving = Set.copyOf(leaving);
       leavingUpstreams = Set.copyOf(leavingUpstreams);
       blamedParts = Map.copyOf(blamedParts);
+      limits = Map.copyOf(limits);
     }
   }
 
@@ -92,6 +99,7 @@
    * @param storeFailed whether a call of any router to the store has failed lately
    * @param leavingUpstreams numbers of the upstreams that any router knows to leave
    * @param blamedParts parts of prompts that the relay blames, as in a router's report
+   * @param limits rate limits that the relay knows, as in a router's report
    * @param versions newest versions that any router has read
    * @param counters sum of the counters of all routers
    */
@@ -104,6 +112,7 @@
       boolean storeFailed,
       Set<Integer> leavingUpstreams,
       Map<Long, Duration> blamedParts,
+      Map<Integer, RateLimits.Reported> limits,
       StoreVersions versions,
       FleetCounters counters)
       implements SummaryMessage {
@@ -114,6 +123,7 @@
       unavailable = Set.copyOf(unavailable);
       leavingUpstreams = Set.copyOf(leavingUpstreams);
       blamedParts = Map.copyOf(blamedParts);
+      limits = Map.copyOf(limits);
     }
   }
 }
--- a/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/HeavyLoadTest.java
@@ -332,11 +332,11 @@
   @Test
   public void schedulerStaysWithinTheRateOfAColdEngine() {
     int sent = 0;
-    ColdRateLimiter limiter = ColdRateLimiter.of(SimulatedFleet.LIMITS);
+    UpstreamRateLimiter limiter = UpstreamRateLimiter.of(SimulatedFleet.LIMITS);
     InstanceId engine = InstanceId.of("engine");
     for (int ms = 0; ms < 1_000; ms++) {
       long now = ms * SimulatedFleet.MS;
-      if (limiter.allows(engine, 11, now)) {
+      if (limiter.allowsWhileCold(engine, 11, now)) {
         limiter.recordSent(engine, now);
         sent++;
       }
--- a/library/src/test/java/org/dandelionbeam/routing/PromptBlameTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/PromptBlameTest.java
@@ -26,7 +26,13 @@
   private static final int TOLERATED_REQUESTS = 3;
 
   private static PromptProfile prompt(String first, String middle) {
-    return SimulatedFleet.prompt(first, middle);
+    return new PromptProfile(
+        6_000,
+        20,
+        List.of(
+            new PromptProfile.Part(PromptProfile.hashOf(first), 1_500),
+            new PromptProfile.Part(PromptProfile.hashOf(middle), 2_500),
+            new PromptProfile.Part(PromptProfile.hashOf(first + middle), 2_000)));
   }
 
   private static void crash(PromptBlame blame, long atMs, PromptProfile... suspects) {
--- a/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
@@ -5,8 +5,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -51,7 +49,7 @@
 
   private final double tokensPerMs;
   private final List<Router> routers = new ArrayList<>();
-  private final Map<InstanceId, Engine> engines = new HashMap<>();
+  private final Map<InstanceId, SimulatedEngine> engines = new HashMap<>();
   private final Random random = new Random(1);
   private final Map<Long, Runnable> later = new TreeMap<>();
   private final Set<Long> crashingParts = new HashSet<>();
@@ -84,7 +82,7 @@
   private void startEngine() {
     UpstreamInstance instance = instance("engine-" + instances, 0);
     instances++;
-    engines.put(instance.id(), new Engine(instance));
+    engines.put(instance.id(), new SimulatedEngine(instance, ENGINE_MEMORY_TOKENS));
     routers.forEach(router -> router.state.upstreams().put(instance, nowMs * MS));
   }
 
@@ -109,10 +107,10 @@
 
   /** Lets an engine crash; its entry lapses later, and another one starts in its place. */
   public void crash(InstanceId id) {
-    Engine engine = engines.get(id);
+    SimulatedEngine engine = engines.get(id);
     engine.crashed = true;
     crashesMs.add(nowMs);
-    List<QueuedRequest> broken = List.copyOf(engine.queue);
+    List<SimulatedEngine.Work> broken = List.copyOf(engine.queue);
     engine.queue.clear();
     broken.forEach(work -> work.router.broken(work));
     schedule(
@@ -120,6 +118,16 @@
     schedule(ENGINE_START_MS, this::startEngine);
   }
 
+  /** Lets an engine name a limit in its responses from now on; its next responses name it. */
+  public void limit(InstanceId id, RateLimit limit) {
+    engines.get(id).limit = limit;
+  }
+
+  /** Returns when requests reached an engine. */
+  public List<Long> arrivalsMs(InstanceId id) {
+    return engines.get(id).arrivalsMs;
+  }
+
   /** Returns the engines that have not crashed. */
   public List<InstanceId> runningEngines() {
     return engines.values().stream()
@@ -176,17 +184,6 @@
             new PromptProfile.Part(PromptProfile.hashOf(unique), own)));
   }
 
-  /** Returns a prompt of two shared parts and one of its own. */
-  static PromptProfile prompt(String first, String middle) {
-    return new PromptProfile(
-        6_000,
-        20,
-        List.of(
-            new PromptProfile.Part(PromptProfile.hashOf(first), 1_500),
-            new PromptProfile.Part(PromptProfile.hashOf(middle), 2_500),
-            new PromptProfile.Part(PromptProfile.hashOf(first + middle), 2_000)));
-  }
-
   public long nowMs() {
     return nowMs;
   }
@@ -256,10 +253,10 @@
     return routers.stream().filter(router -> router.name.equals(name)).findFirst().orElseThrow();
   }
 
-  private void prefill(Engine engine) {
+  private void prefill(SimulatedEngine engine) {
     double left = tokensPerMs;
     while (left > 0 && !engine.queue.isEmpty()) {
-      QueuedRequest work = engine.queue.get(0);
+      SimulatedEngine.Work work = engine.queue.get(0);
       double read = Math.min(left, work.prefillTokens);
       work.prefillTokens -= read;
       left -= read;
@@ -442,7 +439,7 @@
     private void apply(Decision decision) {
       decisions.add(decision);
       if (decision instanceof Decision.Granted grant) {
-        Engine engine = engines.get(grant.instance().id());
+        SimulatedEngine engine = engines.get(grant.instance().id());
         if (engine.crashed) {
           execute(client.recordEnd(grant.ticket(), Outcome.BROKEN));
           return;
@@ -453,22 +450,27 @@
         long prefillTokens = engine.prefillTokensOf(grant.ticket().prompt());
         long own = grant.ticket().prompt().unsharedTokens();
         sharedPrefillTokens += prefillTokens - own;
-        engine.queue.add(new QueuedRequest(this, grant, prefillTokens));
+        engine.arrivalsMs.add(nowMs);
+        engine.queue.add(new SimulatedEngine.Work(this, grant, nowMs, prefillTokens));
       } else if (decision instanceof Decision.Refused) {
         refused.merge(decision.ticket().team().text(), 1, Integer::sum);
       }
     }
 
-    private void broken(QueuedRequest work) {
+    private void broken(SimulatedEngine.Work work) {
       if (!stopped) {
         execute(client.recordEnd(work.grant.ticket(), Outcome.BROKEN));
       }
     }
 
-    private void prefilled(QueuedRequest work) {
+    private void prefilled(SimulatedEngine.Work work) {
       if (stopped) {
         return;
       }
+      UpstreamInstance upstream = work.grant.instance();
+      state
+          .rateLimits()
+          .recordResponse(upstream.number(), engines.get(upstream.id()).limit, nowMs * MS);
       Ticket ticket = work.grant.ticket();
       execute(client.recordFirstOutput(ticket, Duration.ofMillis(nowMs - work.sentMs)));
       execute(client.recordEnd(ticket, Outcome.SERVED));
@@ -479,52 +481,6 @@
     }
   }
 
-  /** An engine with the prompts that it has yet to prefill and the parts that it caches. */
-  private static final class Engine {
-    private final UpstreamInstance instance;
-    private boolean crashed;
-    private final List<QueuedRequest> queue = new ArrayList<>();
-    private final Map<Long, Long> cachedParts = new LinkedHashMap<>();
-
-    Engine(UpstreamInstance instance) {
-      this.instance = instance;
-    }
-
-    long prefillTokensOf(PromptProfile profile) {
-      long held = 0;
-      boolean holdsAll = true;
-      for (PromptProfile.Part part : profile.sharedParts()) {
-        holdsAll &= cachedParts.containsKey(part.hash());
-        held += holdsAll ? part.tokens() : 0;
-      }
-      for (int i = profile.parts().size() - 1; i >= 0; i--) {
-        PromptProfile.Part part = profile.parts().get(i);
-        cachedParts.remove(part.hash());
-        cachedParts.put(part.hash(), part.tokens());
-      }
-      long kept = cachedParts.values().stream().mapToLong(Long::longValue).sum();
-      for (Iterator<Long> eldest = cachedParts.values().iterator(); kept > ENGINE_MEMORY_TOKENS; ) {
-        kept -= eldest.next();
-        eldest.remove();
-      }
-      return profile.promptTokens() - held;
-    }
-  }
-
-  /** A request in the queue of an engine. */
-  private final class QueuedRequest {
-    private final Router router;
-    private final Decision.Granted grant;
-    private final long sentMs = nowMs;
-    private double prefillTokens;
-
-    QueuedRequest(Router router, Decision.Granted grant, double prefillTokens) {
-      this.router = router;
-      this.grant = grant;
-      this.prefillTokens = prefillTokens;
-    }
-  }
-
   /**
    * Returns the tokens of shared parts that engines prefilled as they had not cached them, over all
    * routers.
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
@@ -17,6 +17,8 @@
 import org.dandelionbeam.routing.FleetCounters;
 import org.dandelionbeam.routing.FleetMembers.Member;
 import org.dandelionbeam.routing.PromptProfile;
+import org.dandelionbeam.routing.RateLimit;
+import org.dandelionbeam.routing.RateLimits;
 import org.dandelionbeam.routing.RetryCounts;
 import org.dandelionbeam.routing.RouterName;
 import org.dandelionbeam.routing.ServiceName;
@@ -45,6 +47,10 @@
               new CrashCounts(
                   2, Duration.ofMillis(800), Duration.ofMillis(70), CrashCounts.NEVER)));
   private static final Map<Long, Duration> BLAMED = Map.of(1L << 50, Duration.ofSeconds(500));
+  private static final Map<Integer, RateLimits.Reported> LIMITS =
+      Map.of(
+          -7, new RateLimits.Reported(new RateLimit(5.25), Duration.ofMillis(300)),
+          8, new RateLimits.Reported(RateLimit.NONE, Duration.ZERO));
   private static final UpstreamLoad LOAD = new UpstreamLoad(1, 2_000, 3_000);
 
   private static PeerMessage routerReport() {
@@ -53,20 +59,30 @@
     Member member = new Member(NAME, callers, peers, FailureDomain.of("a"), 7, 0.75);
     return new PeerMessage.Summary(
         new SummaryMessage.RouterReport(
-            member, 5, true, -77L << 40, false, Set.of(3, 9), BLAMED, VERSIONS, COUNTERS));
+            member, 5, true, -77L << 40, false, Set.of(3, 9), BLAMED, LIMITS, VERSIONS, COUNTERS));
   }
 
   private static PeerMessage relayReport() {
     return new PeerMessage.Summary(
         new SummaryMessage.RelayReport(
-            NAME, Set.of(1, -2), Set.of(3), true, false, Set.of(7), BLAMED, VERSIONS, COUNTERS));
+            NAME,
+            Set.of(1, -2),
+            Set.of(3),
+            true,
+            false,
+            Set.of(7),
+            BLAMED,
+            LIMITS,
+            VERSIONS,
+            COUNTERS));
   }
 
   private static PeerMessage fleetReport(
       Optional<Set<Integer>> available, Map<Long, Duration> blamed) {
     return new PeerMessage.Summary(
         new SummaryMessage.FleetReport(
-            NAME, 8, available, Set.of(4), true, false, Set.of(3), blamed, VERSIONS, COUNTERS));
+            NAME, 8, available, Set.of(4), true, false, Set.of(3), blamed, LIMITS, VERSIONS,
+            COUNTERS));
   }
 
   private static Submission submission() {
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/PlainDialect.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/PlainDialect.java
@@ -22,6 +22,7 @@
         Optional.empty(),
         Optional.empty(),
         Optional.empty(),
+        Optional.empty(),
         false);
   }
 
