Run the periodic work of a router from one timer

Cause: reports, expiry and the checks of three kinds of data ran from five timers of 100 ms each, which drift apart, so that an idle router woke up 50 times a second. Change: PeriodicTasks runs them from one timer.

--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -67,6 +67,7 @@
   private final PeerLink peerLink;
   private final SummaryExchange summaries;
   private final FleetStateLog stateLog;
+  private final PeriodicTasks periodic;
   private final LoopDelayMonitor loopDelay;
   private Channel listener;
 
@@ -83,6 +84,7 @@
     context = new RouterContext(loop, fleet, connections, scheduling, dialect, pool, log, metrics);
     summaries = SummaryExchange.of(fleet, this::isReady);
     stateLog = new FleetStateLog(context);
+    periodic = new PeriodicTasks(log::internalError);
     loopDelay = new LoopDelayMonitor(REPORT_INTERVAL, context.now());
     metrics.gauge("waiting_requests", () -> scheduling.service().waitingCount());
     metrics.gauge("upstream_connections_opened", pool::openedCount);
@@ -140,7 +142,7 @@
             .channel();
     peerLink.bind(context.fleet().members().self().peers());
     CachedPartsReader cachedParts = new CachedPartsReader(context);
-    scheduleEvery(
+    periodic.add(
         REPORT_INTERVAL,
         () -> {
           loopDelay.recordRun(context.now());
@@ -148,10 +150,14 @@
           context.scheduling().refresh();
           cachedParts.queryNewEngines();
         });
-    scheduleEvery(UpstreamDirectory.EXPIRY_INTERVAL, this::expireUpstreams);
-    scheduleEvery(IDLE_CHECK_INTERVAL, this::closeIdleCallers);
-    scheduleEvery(QUEUE_LOG_INTERVAL, this::logState);
-    scheduleEvery(TeamShareMonitor.SAMPLE_INTERVAL, this::logShares);
+    periodic.add(UpstreamDirectory.EXPIRY_INTERVAL, this::expireUpstreams);
+    periodic.add(IDLE_CHECK_INTERVAL, this::closeIdleCallers);
+    periodic.add(QUEUE_LOG_INTERVAL, this::logState);
+    periodic.add(TeamShareMonitor.SAMPLE_INTERVAL, this::logShares);
+    long tickMillis = PeriodicTasks.TICK.toMillis();
+    context
+        .loop()
+        .scheduleWithFixedDelay(periodic::tick, tickMillis, tickMillis, TimeUnit.MILLISECONDS);
   }
 
   /** Lets a read loop go on until nothing is left, so that it notices the end of the input too. */
@@ -183,22 +189,6 @@
     stateLog.logChanges();
   }
 
-  private void scheduleEvery(Duration interval, Runnable task) {
-    long millis = interval.toMillis();
-    context.loop().scheduleWithFixedDelay(guarded(task), millis, millis, TimeUnit.MILLISECONDS);
-  }
-
-  /** Wraps a periodic task, as an exception of one run would cancel the later runs. */
-  private Runnable guarded(Runnable task) {
-    return () -> {
-      try {
-        task.run();
-      } catch (RuntimeException e) {
-        context.log().internalError(e);
-      }
-    };
-  }
-
   private void expireUpstreams() {
     long now = context.advanceTime();
     for (InstanceId expired : context.fleet().upstreams().removeExpired(now)) {
@@ -287,7 +277,7 @@
    * @param follower what follows it
    */
   public void follow(StoreData data, StoreFollower follower) {
-    scheduleEvery(
+    periodic.add(
         STALE_CHECK_INTERVAL,
         () -> {
           FleetState fleet = fleet();
