Build no log line that is left out, and format traces only to write them

Cause: a failed request built up to eight JSON lines before the limit on lines was looked at, and each request formatted the details of its trace, though one in a hundred successful ones is logged. Evidence: valuesOfLinesThatAreLeftOutAreNotFormatted, 1,000 values formatted for 100 lines before.

--- a/library/src/main/java/org/dandelionbeam/routing/wiring/EventLog.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/EventLog.java
@@ -89,14 +89,17 @@
     return admitted;
   }
 
-  /** Builder of one line. */
+  /** Builder of one line; of a line above its limit nothing is built. */
   public final class Line {
+    private final boolean admitted;
     private final StringWriter text = new StringWriter();
-    private final JsonGenerator generator;
-    private final LineQuota quota;
+    private JsonGenerator generator;
 
     private Line(String event, LineQuota quota) {
-      this.quota = quota;
+      admitted = tryAdmit(quota);
+      if (!admitted) {
+        return;
+      }
       try {
         generator = json.createGenerator(text);
         generator.writeStartObject();
@@ -116,6 +119,9 @@
      * @return this line
      */
     public Line with(String name, Object value) {
+      if (!admitted) {
+        return this;
+      }
       try {
         if (value instanceof Number number) {
           generator.writeNumberField(name, number.longValue());
@@ -132,7 +138,7 @@
 
     /** Writes the line unless its limit is reached. */
     public void write() {
-      if (!tryAdmit(quota)) {
+      if (!admitted) {
         return;
       }
       try {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
@@ -4,10 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Supplier;
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.RouteRule;
 
-/** Decisions on one request, logged if the request fails or is drawn as a sample. */
+/**
+ * Decisions on one request, logged if the request fails or is drawn as a sample. Only then are they
+ * formatted.
+ */
 final class RequestTrace {
   private static final double NANOS_PER_MS = 1e6;
 
@@ -20,39 +24,45 @@
 
   /** Records the route and the version of the configuration that contains it. */
   void routed(RouteRule route, String team, long configVersion, long nowNanos) {
-    add("routed", "route=" + route.name() + " team=" + team, configVersion, nowNanos);
+    add("routed", () -> "route=" + route.name() + " team=" + team, configVersion, nowNanos);
   }
 
   void granted(Decision.Granted grant, long nowNanos) {
-    String detail = "upstream=" + grant.instance().id() + " address=" + grant.instance().endpoint();
-    String load =
-        " parts="
-            + grant.ticket().prompt().parts().size()
-            + " prompt_tokens="
-            + grant.ticket().prompt().promptTokens()
-            + " ahead_tokens="
-            + grant.aheadTokens()
-            + " unread_tokens="
-            + grant.addedLoad().prefillTokens()
-            + " shared="
-            + grant.ticket().prompt().sharedParts();
-    add("granted", detail + load, grant.instance().incarnation(), nowNanos);
+    add("granted", () -> describe(grant), grant.instance().incarnation(), nowNanos);
+  }
+
+  private static String describe(Decision.Granted grant) {
+    return "upstream="
+        + grant.instance().id()
+        + " address="
+        + grant.instance().endpoint()
+        + " parts="
+        + grant.ticket().prompt().parts().size()
+        + " prompt_tokens="
+        + grant.ticket().prompt().promptTokens()
+        + " ahead_tokens="
+        + grant.aheadTokens()
+        + " unread_tokens="
+        + grant.addedLoad().prefillTokens()
+        + " shared="
+        + grant.ticket().prompt().sharedParts();
   }
 
   void waiting(int queued, long nowNanos) {
-    add("waiting", "queued=" + queued, 0, nowNanos);
+    add("waiting", () -> "queued=" + queued, 0, nowNanos);
   }
 
   void refused(Decision.Refused refused, int queued, long nowNanos) {
-    String reason = refused.reason().name().toLowerCase(Locale.ROOT);
-    String detail =
-        "reason="
-            + reason
-            + " queued="
-            + queued
-            + " retry_after_ms="
-            + refused.retryAfter().toMillis();
-    add("refused", detail, 0, nowNanos);
+    add("refused", () -> describe(refused, queued), 0, nowNanos);
+  }
+
+  private static String describe(Decision.Refused refused, int queued) {
+    return "reason="
+        + refused.reason().name().toLowerCase(Locale.ROOT)
+        + " queued="
+        + queued
+        + " retry_after_ms="
+        + refused.retryAfter().toMillis();
   }
 
   /**
@@ -66,16 +76,18 @@
    */
   void finished(int status, int runs, int parts, long streamNanos, long nowNanos) {
     long streamMs = Duration.ofNanos(streamNanos).toMillis();
-    String detail =
-        "status=" + status + " runs=" + runs + " parts=" + parts + " stream_ms=" + streamMs;
-    add("finished", detail, 0, nowNanos);
+    add(
+        "finished",
+        () -> "status=" + status + " runs=" + runs + " parts=" + parts + " stream_ms=" + streamMs,
+        0,
+        nowNanos);
   }
 
   void step(String name, String detail, long nowNanos) {
-    add(name, detail, 0, nowNanos);
+    add(name, () -> detail, 0, nowNanos);
   }
 
-  private void add(String name, String detail, long version, long nowNanos) {
+  private void add(String name, Supplier<String> detail, long version, long nowNanos) {
     steps.add(new Step(name, detail, version, nowNanos));
   }
 
@@ -89,9 +101,9 @@
       if (step.version != 0) {
         line.with("version", step.version);
       }
-      line.with("detail", step.detail).write();
+      line.with("detail", step.detail.get()).write();
     }
   }
 
-  private record Step(String name, String detail, long version, long nanos) {}
+  private record Step(String name, Supplier<String> detail, long version, long nanos) {}
 }
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/EventLogTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/EventLogTest.java
@@ -8,6 +8,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.slf4j.LoggerFactory;
 import org.testng.annotations.Test;
 
@@ -42,4 +43,23 @@
     assertTrue(own.get(own.size() - 1).contains("event_loop_late"), own.get(own.size() - 1));
     assertEquals(own.size(), 101);
   }
+
+  // Guards against a busy router that spends its time on lines that nobody gets to see.
+  @Test
+  public void valuesOfLinesThatAreLeftOutAreNotFormatted() {
+    EventLog log = EventLog.of("EventLogTest", () -> 0L);
+    AtomicInteger formatted = new AtomicInteger();
+    Object value =
+        new Object() {
+          @Override
+          public String toString() {
+            return "value " + formatted.incrementAndGet();
+          }
+        };
+    for (int i = 0; i < REQUESTS; i++) {
+      log.requestLine("refused").with("value", value).write();
+    }
+
+    assertEquals(formatted.get(), 100);
+  }
 }
