--- a/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
+++ b/library/src/test/java/org/dandelionbeam/summary/SummaryExchangeTest.java
@@ -3,20 +3,10 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import org.dandelionbeam.base.FailureDomain;
-import org.dandelionbeam.routing.Endpoint;
-import org.dandelionbeam.routing.FleetLimits;
-import org.dandelionbeam.routing.FleetMembers;
-import org.dandelionbeam.routing.FleetMembers.Member;
-import org.dandelionbeam.routing.FleetState;
-import org.dandelionbeam.routing.RouterName;
 import org.dandelionbeam.routing.StoreData;
 import org.dandelionbeam.routing.StoreVersions;
 import org.dandelionbeam.routing.TeamName;
@@ -25,186 +15,13 @@
 
 /** Reports between routers while relays fail and routers come and go. */
 public class SummaryExchangeTest {
-  private static final long MS = 1_000_000L;
-  private static final int DOMAINS = 3;
-  private static final int TICK_MS = 100;
-
-  /** Routers that are taken for available stay so for longer than this. */
-  private static final int CHECK_INTERVAL_MS = 10;
+  private static final long MS = ReportingFleet.MS;
+  private static final int DOMAINS = ReportingFleet.DOMAINS;
 
   /** Time after which the directory must no longer name a router that went off. */
   private static final int OFF_BOUND_MS = 6_000;
 
   private static final TeamName TEAM = TeamName.of("red");
-  private static final FleetLimits LIMITS =
-      new FleetLimits(0.2, 54, Duration.ofSeconds(10), 1.5, 5);
-
-  /** Routers that exchange messages, each of which takes 2 ms. */
-  private static final class Fleet {
-    private final List<Router> routers = new ArrayList<>();
-    private final Map<RouterName, Router> byName = new HashMap<>();
-    private List<Runnable> sent = new ArrayList<>();
-    private long nowMs;
-
-    Fleet(int size) {
-      for (int i = 0; i < size; i++) {
-        Router router = new Router(this, i);
-        routers.add(router);
-        byName.put(router.member.name(), router);
-      }
-      List<Member> members = routers.stream().map(router -> router.member).toList();
-      routers.forEach(router -> router.state.members().listed(members, 0));
-    }
-
-    void run(int ms) {
-      for (int i = 0; i < ms; i++) {
-        step();
-      }
-    }
-
-    private void step() {
-      nowMs++;
-      routers.forEach(router -> router.state.advanceTo(nowMs * MS, nowMs));
-      if (nowMs % 2 == 0) {
-        List<Runnable> arriving = sent;
-        sent = new ArrayList<>();
-        arriving.forEach(Runnable::run);
-      }
-      for (int i = 0; i < routers.size(); i++) {
-        Router router = routers.get(i);
-        router.tickDue |= (nowMs + 7 * i) % TICK_MS == 0;
-        if (!router.stopped && nowMs >= router.lateUntilMs && router.tickDue) {
-          router.tickDue = false;
-          router.tick();
-        }
-        router.read();
-      }
-    }
-
-    void assertAllKnow(List<Router> available) {
-      for (Router router : routers) {
-        if (!router.stopped && router.serving) {
-          assertEquals(
-              router.state.members().available(nowMs * MS).stream()
-                  .map(Member::name)
-                  .sorted()
-                  .toList(),
-              available.stream().map(other -> other.member.name()).sorted().toList(),
-              "known to " + router.member.name());
-        }
-      }
-    }
-
-    /** Runs, and checks all the while that no running router takes another one for available. */
-    void runWithout(Router off, int ms) {
-      for (int i = 0; i < ms; i++) {
-        step();
-        if (nowMs % CHECK_INTERVAL_MS != 0) {
-          continue;
-        }
-        for (Router router : routers) {
-          assertTrue(
-              router.stopped
-                  || !router.state.members().isAvailable(off.member.name().number(), nowMs * MS),
-              off.member.name() + " is named by " + router.member.name() + " at " + nowMs + " ms");
-        }
-      }
-    }
-
-    List<Router> without(Router gone) {
-      return routers.stream().filter(router -> router != gone).toList();
-    }
-
-    Router relayOf(int domain) {
-      List<Member> members = routers.stream().map(router -> router.member).toList();
-      return byName.get(
-          RelaySelector.ranked(FailureDomain.of("domain-" + domain), members).get(0).name());
-    }
-  }
-
-  /** One router. */
-  private static final class Router {
-    private final Fleet fleet;
-    private final Member member;
-    private FleetState state;
-    private SummaryExchange exchange;
-    private final List<SummaryMessage> unread = new ArrayList<>();
-    private final Set<RouterName> relays = new HashSet<>();
-
-    /** The event loop runs no task until then, and reads messages after the tasks. */
-    private long lateUntilMs;
-
-    private boolean tickDue;
-    private boolean stopped;
-    private boolean serving = true;
-    private int messages;
-
-    Router(Fleet fleet, int index) {
-      this.fleet = fleet;
-      Endpoint endpoint = new Endpoint("10.0.0.1", 1 + index);
-      member =
-          new Member(
-              RouterName.of("router-" + index),
-              endpoint,
-              endpoint,
-              FailureDomain.of("domain-" + index % DOMAINS),
-              1,
-              1);
-      start();
-    }
-
-    private void start() {
-      state = FleetState.of(LIMITS, FleetMembers.of(member));
-      exchange = SummaryExchange.of(state, () -> serving);
-    }
-
-    /** Starts again without memory and reads all registrations. */
-    void restart() {
-      start();
-      state.advanceTo(fleet.nowMs * MS, fleet.nowMs);
-      list(fleet.routers);
-    }
-
-    void list(List<Router> registered) {
-      state.members().listed(registered.stream().map(r -> r.member).toList(), fleet.nowMs * MS);
-    }
-
-    void learnThatRegistrationLapsed(Router off, boolean byListing) {
-      if (this == off) {
-        return;
-      }
-      if (byListing) {
-        list(fleet.without(off));
-      } else {
-        state.members().removeRegistration(off.member.name(), fleet.nowMs * MS);
-      }
-    }
-
-    void tick() {
-      state.members().serving(serving);
-      for (SummaryExchange.Outgoing outgoing : exchange.tick()) {
-        messages++;
-        if (outgoing.message() instanceof SummaryMessage.RouterReport) {
-          relays.add(outgoing.to().name());
-        }
-        Router to = fleet.byName.get(outgoing.to().name());
-        fleet.sent.add(
-            () -> {
-              if (!to.stopped) {
-                to.messages++;
-                to.unread.add(outgoing.message());
-              }
-            });
-      }
-    }
-
-    private void read() {
-      if (fleet.nowMs >= lateUntilMs) {
-        unread.forEach(exchange::receive);
-        unread.clear();
-      }
-    }
-  }
 
   @DataProvider
   public Object[][] sizes() {
@@ -213,7 +30,7 @@
 
   @Test(dataProvider = "sizes")
   public void allRoutersLearnOfEachOtherAndOfTheSums(int size) {
-    Fleet fleet = new Fleet(size);
+    ReportingFleet fleet = new ReportingFleet(size);
     fleet.run(600);
     fleet.assertAllKnow(fleet.routers);
 
@@ -222,7 +39,7 @@
     fleet.run(400);
 
     double decay = Math.pow(0.5, 400.0 / 600);
-    for (Router router : fleet.routers) {
+    for (ReportingRouter router : fleet.routers) {
       double usage = router.state.usage().usageOf(TEAM, fleet.nowMs * MS);
       assertEquals(usage, total * decay, 0.03 * total, "usage at " + router.member.name());
     }
@@ -232,10 +49,10 @@
   // no longer knows what the others report.
   @Test
   public void busyRouterKeepsItsRelay() {
-    Fleet fleet = new Fleet(30);
+    ReportingFleet fleet = new ReportingFleet(30);
     fleet.run(2_000);
-    Router relay = fleet.relayOf(0);
-    Router busy =
+    ReportingRouter relay = fleet.relayOf(0);
+    ReportingRouter busy =
         fleet.routers.stream()
             .filter(
                 router -> router != relay && router.member.domain().equals(relay.member.domain()))
@@ -251,9 +68,9 @@
 
   @Test
   public void relayThatStopsIsReplaced() {
-    Fleet fleet = new Fleet(30);
+    ReportingFleet fleet = new ReportingFleet(30);
     fleet.run(600);
-    Router relay = fleet.relayOf(0);
+    ReportingRouter relay = fleet.relayOf(0);
     relay.stopped = true;
     fleet.run(2_500);
 
@@ -275,14 +92,9 @@
   // of the domain takes the other one for lost.
   @Test(dataProvider = "stops")
   public void relaysOfADomainThatStopTogetherAreReplacedAndReturn(int count, int stoppedMs) {
-    Fleet fleet = new Fleet(30);
+    ReportingFleet fleet = new ReportingFleet(30);
     fleet.run(600);
-    List<Member> members = fleet.routers.stream().map(router -> router.member).toList();
-    List<Router> relays =
-        RelaySelector.ranked(FailureDomain.of("domain-1"), members).stream()
-            .limit(count)
-            .map(member -> fleet.byName.get(member.name()))
-            .toList();
+    List<ReportingRouter> relays = fleet.ranked(1).stream().limit(count).toList();
     relays.forEach(relay -> relay.stopped = true);
     fleet.run(stoppedMs);
     fleet.assertAllKnow(fleet.routers.stream().filter(router -> !relays.contains(router)).toList());
@@ -294,10 +106,10 @@
 
   @Test
   public void routersOfALostDomainAreNotAvailable() {
-    Fleet fleet = new Fleet(30);
+    ReportingFleet fleet = new ReportingFleet(30);
     fleet.run(600);
-    List<Router> others = new ArrayList<>();
-    for (Router router : fleet.routers) {
+    List<ReportingRouter> others = new ArrayList<>();
+    for (ReportingRouter router : fleet.routers) {
       router.stopped = router.member.domain().name().equals("domain-2");
       if (!router.stopped) {
         others.add(router);
@@ -317,9 +129,9 @@
   // registration lapses at relays before it does at the routers that report to them.
   @Test(dataProvider = "sizesAndOffRouters")
   public void routerThatIsOffIsNotAvailableAgainWhenItsRegistrationLapses(int size, int index) {
-    Fleet fleet = new Fleet(size);
+    ReportingFleet fleet = new ReportingFleet(size);
     fleet.run(600);
-    Router off = fleet.routers.get(index);
+    ReportingRouter off = fleet.routers.get(index);
     off.stopped = true;
     fleet.run(OFF_BOUND_MS);
     fleet.runWithout(off, 9_000);
@@ -340,14 +152,14 @@
   // can't know yet that it is.
   @Test(dataProvider = "sizesAndOffRouters")
   public void routerThatIsOffIsNotAvailableAgainWhenRelaysRestart(int size, int index) {
-    Fleet fleet = new Fleet(size);
+    ReportingFleet fleet = new ReportingFleet(size);
     fleet.run(600);
-    Router off = fleet.routers.get(index);
+    ReportingRouter off = fleet.routers.get(index);
     off.stopped = true;
     fleet.run(OFF_BOUND_MS);
 
     for (int domain = 0; domain < DOMAINS; domain++) {
-      Router relay = fleet.relayOf(domain);
+      ReportingRouter relay = fleet.relayOf(domain);
       if (relay != off) {
         relay.restart();
       }
@@ -358,12 +170,12 @@
   // Guards against routers that keep registrations which a listing of the store no longer has.
   @Test
   public void listingRemovesRoutersThatItLacks() {
-    Fleet fleet = new Fleet(7);
+    ReportingFleet fleet = new ReportingFleet(7);
     fleet.run(600);
-    Router off = fleet.routers.get(4);
+    ReportingRouter off = fleet.routers.get(4);
     off.stopped = true;
     fleet.run(OFF_BOUND_MS);
-    Router reader = fleet.routers.get(1);
+    ReportingRouter reader = fleet.routers.get(1);
     reader.list(fleet.without(off));
     fleet.run(200);
 
@@ -383,11 +195,11 @@
   @Test(dataProvider = "relaysWithoutStore")
   public void routersReadTheStoreThemselvesWhenNoRelayCan(
       int size, int failingDomains, boolean informed) {
-    Fleet fleet = new Fleet(size);
+    ReportingFleet fleet = new ReportingFleet(size);
     fleet.run(1_000);
-    Set<Router> relays = new HashSet<>();
+    Set<ReportingRouter> relays = new HashSet<>();
     for (int domain = 0; domain < DOMAINS; domain++) {
-      Router relay = fleet.relayOf(domain);
+      ReportingRouter relay = fleet.relayOf(domain);
       relays.add(relay);
       if (domain < failingDomains) {
         relay.state.recordCallFailed(StoreData.OPERATORS);
@@ -395,23 +207,23 @@
     }
     fleet.run(500);
 
-    for (Router router : fleet.routers) {
+    for (ReportingRouter router : fleet.routers) {
       if (!relays.contains(router)) {
         assertEquals(router.exchange.isInformed(), informed, router.member.name().text());
       }
     }
     relays.forEach(relay -> relay.state.recordCurrent(StoreData.OPERATORS, 1));
     fleet.run(500);
-    for (Router router : fleet.routers) {
+    for (ReportingRouter router : fleet.routers) {
       assertEquals(router.exchange.isInformed(), !relays.contains(router));
     }
   }
 
   @Test
   public void leavingRouterIsNotAvailableAtOnce() {
-    Fleet fleet = new Fleet(30);
+    ReportingFleet fleet = new ReportingFleet(30);
     fleet.run(600);
-    Router leaving = fleet.routers.get(4);
+    ReportingRouter leaving = fleet.routers.get(4);
     leaving.serving = false;
     fleet.run(400);
 
@@ -422,7 +234,7 @@
   @Test
   public void mostRoutersHandleTheSameNumberOfMessagesInAnyFleet() {
     for (int size : new int[] {30, 300}) {
-      Fleet fleet = new Fleet(size);
+      ReportingFleet fleet = new ReportingFleet(size);
       fleet.run(600);
       fleet.routers.forEach(router -> router.messages = 0);
       fleet.run(1_000);
@@ -438,16 +250,16 @@
   // Guards against routers that go on with the data of a store that was restored since.
   @Test(dataProvider = "sizes")
   public void laterEraOfTheStoreReachesAllRouters(int size) {
-    Fleet fleet = new Fleet(size);
+    ReportingFleet fleet = new ReportingFleet(size);
     fleet.routers.forEach(router -> router.state.recordStoreEra(1));
     fleet.routers.forEach(router -> router.state.recordChange(StoreData.OPERATORS, 900));
     fleet.run(400);
-    Router first = fleet.routers.get(0);
+    ReportingRouter first = fleet.routers.get(0);
     first.state.recordStoreEra(2);
     first.state.recordChange(StoreData.OPERATORS, 850);
     fleet.run(400);
 
-    for (Router router : fleet.routers) {
+    for (ReportingRouter router : fleet.routers) {
       assertEquals(
           router.state.staleStateDetector().isBehind(StoreData.OPERATORS, versionsOf(router)),
           router != first,
@@ -458,17 +270,17 @@
   // Guards against schedulers that go on granting an upstream that leaves.
   @Test(dataProvider = "sizes")
   public void upstreamThatLeavesIsKnownToAllRoutersWithinASecond(int size) {
-    Fleet fleet = new Fleet(size);
+    ReportingFleet fleet = new ReportingFleet(size);
     fleet.run(400);
     fleet.routers.get(0).state.upstreams().recordLeaving(Set.of(17), fleet.nowMs * MS);
     fleet.run(1_000);
 
-    for (Router router : fleet.routers) {
+    for (ReportingRouter router : fleet.routers) {
       assertEquals(router.state.upstreams().leaving(), Set.of(17), router.member.name().text());
     }
   }
 
-  private static StoreVersions versionsOf(Router router) {
+  private static StoreVersions versionsOf(ReportingRouter router) {
     return router.state.storeVersions();
   }
 }
