--- a/library/src/main/java/org/dandelionbeam/routing/FleetState.java
+++ b/library/src/main/java/org/dandelionbeam/routing/FleetState.java
@@ -290,6 +290,15 @@
     return pauses.hasRunFor(time, nowNanos);
   }
 
+  /**
+   * Returns the last pause of this process.
+   *
+   * @return the pause, empty if there was none
+   */
+  public Optional<Pause> lastPause() {
+    return pauses.lastPause();
+  }
+
   /**
    * Returns the time of the current event.
    *
--- a/library/src/main/java/org/dandelionbeam/routing/PauseDetector.java
+++ b/library/src/main/java/org/dandelionbeam/routing/PauseDetector.java
@@ -1,6 +1,7 @@
 package org.dandelionbeam.routing;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Detects that this process did not run for a while, so that other routers may have taken over its
@@ -19,8 +20,7 @@
   private boolean started;
   private long lastNanos;
   private long lastWallMillis;
-  private boolean everPaused;
-  private long pausedNanos;
+  private Optional<Pause> lastPause = Optional.empty();
 
   /** Records an event, and with it a pause if the last event was too long ago. */
   void recordEvent(long nowNanos, long wallMillis) {
@@ -29,8 +29,8 @@
       long wallElapsedMillis = wallMillis - lastWallMillis;
       if (elapsedMillis >= MIN_PAUSE.toMillis()
           || wallElapsedMillis - elapsedMillis >= MIN_CLOCK_DIFFERENCE.toMillis()) {
-        everPaused = true;
-        pausedNanos = nowNanos;
+        Duration length = Duration.ofMillis(Math.max(elapsedMillis, wallElapsedMillis));
+        lastPause = Optional.of(new Pause(nowNanos, length));
       }
     }
     started = true;
@@ -40,6 +40,11 @@
 
   /** Tells whether the process has run without a pause for some time. */
   boolean hasRunFor(Duration time, long nowNanos) {
-    return !everPaused || nowNanos - pausedNanos >= time.toNanos();
+    return lastPause.map(pause -> nowNanos - pause.resumedNanos() >= time.toNanos()).orElse(true);
+  }
+
+  /** Returns the last pause, empty if there was none. */
+  Optional<Pause> lastPause() {
+    return lastPause;
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetStateLog.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetStateLog.java
@@ -6,10 +6,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.dandelionbeam.base.FailureDomain;
 import org.dandelionbeam.routing.AvailabilityMonitor;
 import org.dandelionbeam.routing.Endpoint;
+import org.dandelionbeam.routing.Pause;
 import org.dandelionbeam.routing.RoutingTable;
 import org.dandelionbeam.routing.TeamName;
 import org.dandelionbeam.routing.TeamShareMonitor;
@@ -33,6 +35,7 @@
   private final AvailabilityMonitor availability;
   private final Map<FailureDomain, List<Endpoint>> namedAddresses = new HashMap<>();
   private Set<Long> blamedParts = Set.of();
+  private Optional<Pause> loggedPause = Optional.empty();
 
   FleetStateLog(RouterContext context) {
     this.context = requireNonNull(context, "context");
@@ -42,12 +45,24 @@
 
   /** Logs the changes since the last call; to be called several times a second. */
   void logChanges() {
+    logPause();
     List<AvailabilityMonitor.Change> changes = availability.changes(context.fleet().nowNanos());
     logAvailability("routers_available", changes, true);
     logAvailability("routers_unavailable", changes, false);
     logBlame();
   }
 
+  /** Logs that this process stood still, since what it believes may be older than it knows. */
+  private void logPause() {
+    Optional<Pause> last = context.fleet().lastPause();
+    if (!last.equals(loggedPause)) {
+      loggedPause = last;
+      last.ifPresent(
+          pause ->
+              context.log().line("process_resumed").with("ms", pause.length().toMillis()).write());
+    }
+  }
+
   /** Logs which routers changed and on whose word; one line, however many there are. */
   private void logAvailability(
       String event, List<AvailabilityMonitor.Change> changes, boolean available) {
