--- a/library/src/main/java/org/dandelionbeam/routing/Ticket.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Ticket.java
@@ -15,7 +15,7 @@
   private long number;
   private final ServiceName service;
   private final TeamName team;
-  private final PromptProfile prompt;
+  private final RequestContent content;
   private final Optional<FailureDomain> domain;
   private final long arrivedNanos;
   private final long objectiveNanos;
@@ -28,7 +28,7 @@
     number = builder.number;
     service = requireNonNull(builder.service, "service");
     team = requireNonNull(builder.team, "team");
-    prompt = requireNonNull(builder.prompt, "prompt");
+    content = new RequestContent(builder.digest, builder.prompt);
     domain = builder.domain;
     arrivedNanos = builder.arrivedNanos;
     submittedNanos = builder.submittedNanos.orElse(builder.arrivedNanos);
@@ -90,13 +90,22 @@
     return team;
   }
 
+  /**
+   * Returns what the upstream gets to work on.
+   *
+   * @return the content
+   */
+  public RequestContent content() {
+    return content;
+  }
+
   /**
    * Returns the profile of the request's prompt.
    *
    * @return the profile, {@link PromptProfile#NONE} for a plain service
    */
   public PromptProfile prompt() {
-    return prompt;
+    return content.prompt();
   }
 
   /**
@@ -105,7 +114,7 @@
    * @return tokens of a model request, 1 for a plain service
    */
   public long cost() {
-    return prompt.isModelRequest() ? prompt.costTokens() : 1;
+    return prompt().isModelRequest() ? prompt().costTokens() : 1;
   }
 
   /**
@@ -207,6 +216,7 @@
     private ServiceName service;
     private TeamName team;
     private PromptProfile prompt = PromptProfile.NONE;
+    private Optional<RequestDigest> digest = Optional.empty();
     private Optional<FailureDomain> domain = Optional.empty();
     private long arrivedNanos;
     private long objectiveNanos;
@@ -233,6 +243,17 @@
       return this;
     }
 
+    /**
+     * Sets what identifies the whole request.
+     *
+     * @param newDigest digest of the request, empty if it isn't known
+     * @return this builder
+     */
+    public Builder digest(Optional<RequestDigest> newDigest) {
+      digest = newDigest;
+      return this;
+    }
+
     /**
      * Sets the failure domain that the request is sent from.
      *
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestScheduling.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestScheduling.java
@@ -15,7 +15,6 @@
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.FleetMembers.Member;
 import org.dandelionbeam.routing.FleetState;
-import org.dandelionbeam.routing.PromptProfile;
 import org.dandelionbeam.routing.RouterName;
 import org.dandelionbeam.routing.Ticket;
 import org.dandelionbeam.scheduling.Outcome;
@@ -116,16 +115,11 @@
   }
 
   private void logCrash(UpstreamCrash crash) {
-    List<List<PromptProfile.Part>> suspects =
-        crash.suspects().stream()
-            .map(PromptProfile::sharedParts)
-            .limit(MAX_LOGGED_SUSPECTS)
-            .toList();
     log.line("upstream_crashed")
         .with("upstream", crash.upstream())
         .with("broken_off", crash.brokenOff())
         .with("suspects", crash.suspects().size())
-        .with("parts", suspects)
+        .with("requests", crash.suspects().stream().limit(MAX_LOGGED_SUSPECTS).toList())
         .write();
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -18,6 +18,7 @@
 import org.dandelionbeam.base.Verdict;
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.InstanceId;
+import org.dandelionbeam.routing.RequestDigest;
 import org.dandelionbeam.routing.RouteKind;
 import org.dandelionbeam.routing.RouteRule;
 import org.dandelionbeam.routing.RoutingTable;
@@ -105,11 +106,13 @@
   }
 
   private void submit(RoutingTable table, long now) {
-    trace.routed(route, team.orElse(NO_TEAM).text(), table.version(), now);
     if (route.kind() == RouteKind.STREAMING && route.isIdempotent()) {
       relay.enableResuming();
     }
-    ticket = RequestTickets.create(router, route, team.orElse(NO_TEAM), metadata, arrivedNanos);
+    TeamName owner = team.orElse(NO_TEAM);
+    RequestDigest digest = UpstreamRequests.digestOf(head, body, owner);
+    ticket = RequestTickets.create(router, route, owner, metadata, digest, arrivedNanos);
+    trace.routed(route, ticket, table.version(), now);
     router.fleet().retryBudget().recordRequest(ticket.service(), now);
     router.fleet().usage().recordDemand(ticket.team(), ticket.cost(), now);
     Optional<Duration> blame = router.fleet().promptBlame().remainingBlame(ticket.prompt(), now);
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTickets.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTickets.java
@@ -1,6 +1,8 @@
 package org.dandelionbeam.routing.wiring;
 
 import java.time.Duration;
+import java.util.Optional;
+import org.dandelionbeam.routing.RequestDigest;
 import org.dandelionbeam.routing.RouteKind;
 import org.dandelionbeam.routing.RouteRule;
 import org.dandelionbeam.routing.TeamName;
@@ -22,12 +24,14 @@
       RouteRule route,
       TeamName team,
       HttpDialect.RequestMetadata metadata,
+      RequestDigest digest,
       long arrivedNanos) {
     long timeoutNanos =
         Math.min(route.timeout().toNanos(), metadata.timeout().orElse(DEFAULT_TIMEOUT).toNanos());
     long objectiveNanos = Math.min(route.latencyObjective().toNanos(), timeoutNanos);
     boolean streams = route.kind() == RouteKind.STREAMING;
     return Ticket.builder(router.nextTicketNumber())
+        .digest(Optional.of(digest))
         .from(router.fleet().members().self().domain())
         .firstOutputTimeout(streams ? route.firstOutputTimeout().toNanos() : timeoutNanos)
         .request(route.pickService(router::random), team, metadata.prompt())
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTrace.java
@@ -6,7 +6,9 @@
 import java.util.Locale;
 import java.util.function.Supplier;
 import org.dandelionbeam.routing.Decision;
+import org.dandelionbeam.routing.RequestDigest;
 import org.dandelionbeam.routing.RouteRule;
+import org.dandelionbeam.routing.Ticket;
 
 /**
  * Decisions on one request, logged if the request fails or is drawn as a sample. Only then are they
@@ -23,8 +25,13 @@
   }
 
   /** Records the route and the version of the configuration that contains it. */
-  void routed(RouteRule route, String team, long configVersion, long nowNanos) {
-    add("routed", () -> "route=" + route.name() + " team=" + team, configVersion, nowNanos);
+  void routed(RouteRule route, Ticket ticket, long configVersion, long nowNanos) {
+    add("routed", () -> describe(route, ticket), configVersion, nowNanos);
+  }
+
+  private static String describe(RouteRule route, Ticket ticket) {
+    String digest = ticket.content().digest().map(RequestDigest::toString).orElse("unknown");
+    return "route=" + route.name() + " team=" + ticket.team() + " digest=" + digest;
   }
 
   void granted(Decision.Granted grant, long nowNanos) {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/ScheduleCodec.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/ScheduleCodec.java
@@ -4,9 +4,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.dandelionbeam.base.FailureDomain;
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.PromptProfile;
+import org.dandelionbeam.routing.RequestContent;
+import org.dandelionbeam.routing.RequestDigest;
 import org.dandelionbeam.routing.ServiceName;
 import org.dandelionbeam.routing.TeamName;
 import org.dandelionbeam.routing.UpstreamLoad;
@@ -92,13 +95,7 @@
     packer.packString(submission.service().text());
     packer.packString(submission.team().text());
     packer.packString(submission.domain().name());
-    packer.packLong(submission.prompt().promptTokens());
-    packer.packLong(submission.prompt().outputTokens());
-    packer.packArrayHeader(submission.prompt().parts().size());
-    for (PromptProfile.Part part : submission.prompt().parts()) {
-      packer.packLong(part.hash());
-      packer.packLong(part.tokens());
-    }
+    packContent(packer, submission.content());
     packer.packInt(submission.upstream());
     PeerMessageCodec.packNumbers(packer, submission.excluded());
     packer.packLong(submission.ageNanos());
@@ -112,17 +109,11 @@
     ServiceName service = ServiceName.of(unpacker.unpackString());
     TeamName team = TeamName.of(unpacker.unpackString());
     FailureDomain domain = FailureDomain.of(unpacker.unpackString());
-    long promptTokens = unpacker.unpackLong();
-    long outputTokens = unpacker.unpackLong();
-    int partCount = unpacker.unpackArrayHeader();
-    List<PromptProfile.Part> parts = new ArrayList<>();
-    for (int i = 0; i < partCount; i++) {
-      parts.add(new PromptProfile.Part(unpacker.unpackLong(), unpacker.unpackLong()));
-    }
+    RequestContent content = unpackContent(unpacker);
     return new Submission(
         service,
         team,
-        new PromptProfile(promptTokens, outputTokens, parts),
+        content,
         domain,
         unpacker.unpackInt(),
         PeerMessageCodec.unpackNumbers(unpacker),
@@ -133,6 +124,37 @@
         unpacker.unpackLong());
   }
 
+  private static void packContent(MessagePacker packer, RequestContent content) throws IOException {
+    if (content.digest().isPresent()) {
+      packer.packLong(content.digest().get().value());
+    } else {
+      packer.packNil();
+    }
+    PromptProfile prompt = content.prompt();
+    packer.packLong(prompt.promptTokens());
+    packer.packLong(prompt.outputTokens());
+    packer.packArrayHeader(prompt.parts().size());
+    for (PromptProfile.Part part : prompt.parts()) {
+      packer.packLong(part.hash());
+      packer.packLong(part.tokens());
+    }
+  }
+
+  private static RequestContent unpackContent(MessageUnpacker unpacker) throws IOException {
+    Optional<RequestDigest> digest =
+        unpacker.tryUnpackNil()
+            ? Optional.empty()
+            : Optional.of(new RequestDigest(unpacker.unpackLong()));
+    long promptTokens = unpacker.unpackLong();
+    long outputTokens = unpacker.unpackLong();
+    int partCount = unpacker.unpackArrayHeader();
+    List<PromptProfile.Part> parts = new ArrayList<>();
+    for (int i = 0; i < partCount; i++) {
+      parts.add(new PromptProfile.Part(unpacker.unpackLong(), unpacker.unpackLong()));
+    }
+    return new RequestContent(digest, new PromptProfile(promptTokens, outputTokens, parts));
+  }
+
   private static void packSync(MessagePacker packer, ScheduleRequest.Sync sync) throws IOException {
     packer.packArrayHeader(sync.waiting().size());
     for (long id : sync.waiting()) {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamRequests.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamRequests.java
@@ -7,6 +7,9 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import org.dandelionbeam.routing.RequestDigest;
+import org.dandelionbeam.routing.TeamName;
 
 /** Creates the requests that are sent to upstreams from those of callers. */
 final class UpstreamRequests {
@@ -37,4 +40,11 @@
     }
     return request;
   }
+
+  /** Returns the digest by which the same request is known at all routers. */
+  static RequestDigest digestOf(HttpRequest head, ByteBuf body, TeamName team) {
+    String host = head.headers().get(HttpHeaderNames.HOST, "");
+    List<String> fields = List.of(head.method().name(), host, head.uri(), team.text());
+    return RequestDigest.of(fields, body.nioBuffer());
+  }
 }
--- a/library/src/main/java/org/dandelionbeam/scheduling/CrashDetector.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/CrashDetector.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntPredicate;
-import org.dandelionbeam.routing.PromptProfile;
+import org.dandelionbeam.routing.RequestContent;
 
 /**
  * Tells the crash of an upstream from single exchanges that break off.
@@ -37,23 +37,23 @@
   private final Set<Integer> crashed = new LinkedHashSet<>();
 
   /** An exchange that broke off. */
-  private record Break(PromptProfile prompt, boolean suspect, long atNanos) {}
+  private record Break(RequestContent content, boolean suspect, long atNanos) {}
 
   /**
    * Records that an exchange broke off.
    *
    * @param upstream number of the upstream
-   * @param prompt prompt of the request
+   * @param content content of the request
    * @param outputTime time since the first output, zero if there was none
    * @param isLast whether no other exchange with the upstream is open
    * @param nowNanos monotonic time
    * @return the crash, if the upstream has crashed
    */
   Optional<UpstreamCrash> recordBreak(
-      int upstream, PromptProfile prompt, Duration outputTime, boolean isLast, long nowNanos) {
+      int upstream, RequestContent content, Duration outputTime, boolean isLast, long nowNanos) {
     boolean suspect = outputTime.compareTo(HARMLESS_OUTPUT_TIME) < 0;
     List<Break> known = breaks.computeIfAbsent(upstream, key -> new ArrayList<>());
-    known.add(new Break(prompt, suspect, nowNanos));
+    known.add(new Break(content, suspect, nowNanos));
     long together = known.stream().filter(each -> isTogether(each, nowNanos)).count();
     return isLast && together >= MIN_BROKEN_TOGETHER ? confirm(upstream) : Optional.empty();
   }
@@ -116,8 +116,8 @@
     forgetOldest();
     long lastNanos = last(known).atNanos;
     List<Break> together = known.stream().filter(each -> isTogether(each, lastNanos)).toList();
-    List<PromptProfile> suspects =
-        together.stream().filter(Break::suspect).map(Break::prompt).toList();
+    List<RequestContent> suspects =
+        together.stream().filter(Break::suspect).map(Break::content).toList();
     return Optional.of(new UpstreamCrash(upstream, together.size(), suspects));
   }
 
--- a/library/src/main/java/org/dandelionbeam/scheduling/SchedulerService.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/SchedulerService.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.dandelionbeam.routing.Decision;
 import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.RequestContent;
 import org.dandelionbeam.routing.RouterName;
 import org.dandelionbeam.routing.Scheduler;
 import org.dandelionbeam.routing.TeamQueue;
@@ -180,7 +181,7 @@
         Duration outputTime =
             entry.outputSeen ? Duration.ofNanos(now - entry.outputNanos) : Duration.ZERO;
         crashDetector
-            .recordBreak(upstream, entry.ticket.prompt(), outputTime, isLast, now)
+            .recordBreak(upstream, entry.ticket.content(), outputTime, isLast, now)
             .ifPresent(this::recordCrash);
       }
       case UNREACHABLE -> crashDetector.recordUnreachable(upstream).ifPresent(this::recordCrash);
@@ -190,7 +191,10 @@
 
   private void recordCrash(UpstreamCrash crash) {
     newCrashes.add(crash);
-    fleet.promptBlame().recordCrash(crash.suspects(), fleet.nowNanos());
+    fleet
+        .promptBlame()
+        .recordCrash(
+            crash.suspects().stream().map(RequestContent::prompt).toList(), fleet.nowNanos());
     fleet.promptBlame().blameNext(fleet.nowNanos());
   }
 
--- a/library/src/main/java/org/dandelionbeam/scheduling/Submission.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/Submission.java
@@ -4,7 +4,7 @@
 
 import java.util.Set;
 import org.dandelionbeam.base.FailureDomain;
-import org.dandelionbeam.routing.PromptProfile;
+import org.dandelionbeam.routing.RequestContent;
 import org.dandelionbeam.routing.ServiceName;
 import org.dandelionbeam.routing.TeamName;
 import org.dandelionbeam.routing.Ticket;
@@ -15,7 +15,7 @@
  *
  * @param service service that the request goes to
  * @param team team that the request belongs to
- * @param prompt profile of the prompt
+ * @param content what the upstream gets to work on
  * @param domain failure domain of the router of the caller
  * @param upstream number of the upstream that the router of the caller prefers
  * @param excluded numbers of the upstreams that must not get the request
@@ -28,7 +28,7 @@
 public record Submission(
     ServiceName service,
     TeamName team,
-    PromptProfile prompt,
+    RequestContent content,
     FailureDomain domain,
     int upstream,
     Set<Integer> excluded,
@@ -42,7 +42,7 @@
   public Submission {
     requireNonNull(service, "service");
     requireNonNull(team, "team");
-    requireNonNull(prompt, "prompt");
+    requireNonNull(content, "content");
     requireNonNull(domain, "domain");
     excluded = Set.copyOf(excluded);
   }
@@ -53,7 +53,7 @@
     return new Submission(
         ticket.service(),
         ticket.team(),
-        ticket.prompt(),
+        ticket.content(),
         domain,
         upstream,
         excluded,
@@ -69,7 +69,8 @@
     long arrived = nowNanos - ageNanos;
     Ticket ticket =
         Ticket.builder(number)
-            .request(service, team, prompt)
+            .request(service, team, content.prompt())
+            .digest(content.digest())
             .from(domain)
             .times(arrived, arrived + objectiveNanos, arrived + deadlineNanos)
             .submitted(nowNanos - waitedNanos)
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
@@ -19,6 +19,8 @@
 import org.dandelionbeam.routing.PromptProfile;
 import org.dandelionbeam.routing.RateLimit;
 import org.dandelionbeam.routing.RateLimits;
+import org.dandelionbeam.routing.RequestContent;
+import org.dandelionbeam.routing.RequestDigest;
 import org.dandelionbeam.routing.RetryCounts;
 import org.dandelionbeam.routing.RouterName;
 import org.dandelionbeam.routing.ServiceName;
@@ -85,12 +87,14 @@
             COUNTERS));
   }
 
-  private static Submission submission() {
+  private static Submission submission(Optional<RequestDigest> digest) {
     return new Submission(
         ServiceName.of("model"),
         TeamName.of("red"),
-        new PromptProfile(
-            609, 20, List.of(new PromptProfile.Part(1, 600), new PromptProfile.Part(-2, 9))),
+        new RequestContent(
+            digest,
+            new PromptProfile(
+                609, 20, List.of(new PromptProfile.Part(1, 600), new PromptProfile.Part(-2, 9)))),
         FailureDomain.of("a"),
         -5,
         Set.of(6, 7),
@@ -105,7 +109,8 @@
   public Object[][] messages() {
     List<ScheduleRequest> requests =
         List.of(
-            new ScheduleRequest.Submit(1, submission()),
+            new ScheduleRequest.Submit(1, submission(Optional.empty())),
+            new ScheduleRequest.Submit(8, submission(Optional.of(new RequestDigest(-9)))),
             new ScheduleRequest.Cancel(2),
             new ScheduleRequest.FirstOutput(3, 40),
             new ScheduleRequest.End(4, Outcome.BROKEN),
