--- a/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -53,10 +55,14 @@
   private final Random random = new Random(1);
   private final Map<Long, Runnable> later = new TreeMap<>();
   private final Set<Long> crashingParts = new HashSet<>();
+  private final Set<RequestDigest> crashingRequests = new HashSet<>();
   private final List<Long> crashesMs = new ArrayList<>();
+  private final List<Long> crashesUnderRequestsMs = new ArrayList<>();
   private final List<Long> crashingRequestsMs = new ArrayList<>();
   private int instances;
   private List<Runnable> sent = new ArrayList<>();
+  private final Set<Ticket> repeated = Collections.newSetFromMap(new IdentityHashMap<>());
+  private boolean repeatsBroken;
   private double lossRatio;
   private double requestCostMs;
   private double messageCostMs;
@@ -91,18 +97,35 @@
     crashingParts.add(PromptProfile.hashOf(part));
   }
 
+  /** Lets each engine crash that begins to answer a request. */
+  void crashOn(RequestDigest request) {
+    crashingRequests.add(request);
+  }
+
+  /** Lets routers send a request once more whose exchange broke off, as long as it is allowed. */
+  void repeatBrokenRequests() {
+    repeatsBroken = true;
+  }
+
   /** Returns the times of the crashes. */
   public List<Long> crashesMs() {
     return crashesMs;
   }
 
-  /** Returns when requests with a crashing part reached engines. */
+  /** Returns the times of the crashes under requests that crash engines. */
+  List<Long> crashesUnderRequestsMs() {
+    return crashesUnderRequestsMs;
+  }
+
+  /** Returns when requests that crash engines reached them. */
   public List<Long> crashingRequestsMs() {
     return crashingRequestsMs;
   }
 
-  private boolean crashes(PromptProfile prompt) {
-    return prompt.sharedParts().stream().anyMatch(part -> crashingParts.contains(part.hash()));
+  private boolean crashes(RequestContent content) {
+    return content.digest().filter(crashingRequests::contains).isPresent()
+        || content.prompt().sharedParts().stream()
+            .anyMatch(part -> crashingParts.contains(part.hash()));
   }
 
   /** Lets an engine crash; its entry lapses later, and another one starts in its place. */
@@ -261,7 +284,8 @@
       work.prefillTokens -= read;
       left -= read;
       if (work.prefillTokens <= 0) {
-        if (crashes(work.grant.ticket().prompt())) {
+        if (crashes(work.grant.ticket().content())) {
+          crashesUnderRequestsMs.add(nowMs);
           crash(engine.instance.id());
           return;
         }
@@ -356,11 +380,16 @@
 
     /** Submits a request; returns its ticket, whose decisions are recorded as they come. */
     public Ticket submit(String team, PromptProfile profile, long objectiveMs) {
+      return submit(team, RequestContent.ofPrompt(profile), objectiveMs);
+    }
+
+    Ticket submit(String team, RequestContent content, long objectiveMs) {
       lastTicketNumber++;
       backlogMs += requestCostMs;
       Ticket ticket =
           Ticket.builder(lastTicketNumber)
-              .request(MODEL, TeamName.of(team), profile)
+              .request(MODEL, TeamName.of(team), content.prompt())
+              .digest(content.digest())
               .times(nowMs * MS, (nowMs + objectiveMs) * MS, (nowMs + 5_000) * MS)
               .firstOutputTimeout(2_400 * MS)
               .build();
@@ -441,10 +470,10 @@
       if (decision instanceof Decision.Granted grant) {
         SimulatedEngine engine = engines.get(grant.instance().id());
         if (engine.crashed) {
-          execute(client.recordEnd(grant.ticket(), Outcome.BROKEN));
+          execute(client.recordEnd(grant.ticket(), Outcome.UNREACHABLE));
           return;
         }
-        if (crashes(grant.ticket().prompt())) {
+        if (crashes(grant.ticket().content())) {
           crashingRequestsMs.add(nowMs);
         }
         long prefillTokens = engine.prefillTokensOf(grant.ticket().prompt());
@@ -458,8 +487,20 @@
     }
 
     private void broken(SimulatedEngine.Work work) {
-      if (!stopped) {
-        execute(client.recordEnd(work.grant.ticket(), Outcome.BROKEN));
+      if (stopped) {
+        return;
+      }
+      Ticket ticket = work.grant.ticket();
+      execute(client.recordEnd(ticket, Outcome.BROKEN));
+      ticket.exclude(work.grant.instance().number());
+      boolean repeats =
+          repeatsBroken
+              && repeated.add(ticket)
+              && !state.promptBlame().isSuspicious(ticket.prompt(), state.nowNanos());
+      if (repeats) {
+        lastTicketNumber++;
+        ticket.recordResubmission(lastTicketNumber, state.nowNanos());
+        execute(client.submit(ticket));
       }
     }
 
