--- a/library/src/main/java/org/dandelionbeam/routing/PromptBlame.java
+++ b/library/src/main/java/org/dandelionbeam/routing/CrashBlame.java
@@ -21,7 +21,7 @@
  * request with it that was served since. A crash under a blamed part is no evidence against other
  * parts. Counts are summed over all routers. Not thread-safe.
  */
-public final class PromptBlame {
+public final class CrashBlame {
   /** Crashes after which a part is blamed, if no other part has as many. */
   private static final int MIN_CRASHES = 3;
 
@@ -72,15 +72,15 @@
   private Map<Long, CrashCounts> total = Map.of();
   private long settledNanos = Long.MIN_VALUE;
 
-  private PromptBlame() {}
+  private CrashBlame() {}
 
   /**
    * Creates a record without crashes.
    *
    * @return the record
    */
-  public static PromptBlame create() {
-    return new PromptBlame();
+  public static CrashBlame create() {
+    return new CrashBlame();
   }
 
   /** The suspected parts of the requests that ran on a crashed upstream. */
--- a/library/src/main/java/org/dandelionbeam/routing/FleetState.java
+++ b/library/src/main/java/org/dandelionbeam/routing/FleetState.java
@@ -19,7 +19,7 @@
   private final UpstreamHealth health = UpstreamHealth.create();
   private final LoadTracker loads = LoadTracker.create();
   private final TeamUsage usage = TeamUsage.create();
-  private final PromptBlame promptBlame = PromptBlame.create();
+  private final CrashBlame crashBlame = CrashBlame.create();
   private final PrefixCacheModel prefixCaches = PrefixCacheModel.create();
   private final Map<ServiceName, PrefillRateEstimator> prefillRates = new HashMap<>();
   private final UpstreamRateLimiter rateLimiter;
@@ -218,8 +218,8 @@
    *
    * @return the record
    */
-  public PromptBlame promptBlame() {
-    return promptBlame;
+  public CrashBlame crashBlame() {
+    return crashBlame;
   }
 
   /**
--- a/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Scheduler.java
@@ -128,7 +128,7 @@
   }
 
   private Optional<Duration> remainingBlame(Ticket ticket) {
-    return fleet.promptBlame().remainingBlame(ticket.prompt(), fleet.nowNanos());
+    return fleet.crashBlame().remainingBlame(ticket.prompt(), fleet.nowNanos());
   }
 
   private List<Ticket> aheadOf(Ticket ticket, List<Ticket> queue) {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetStateLog.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetStateLog.java
@@ -80,7 +80,7 @@
 
   /** Logs the parts of prompts whose requests are refused from now on, or no longer. */
   private void logBlame() {
-    Map<Long, Duration> blamed = context.fleet().promptBlame().blamed(context.fleet().nowNanos());
+    Map<Long, Duration> blamed = context.fleet().crashBlame().blamed(context.fleet().nowNanos());
     blamed.forEach(
         (part, remaining) -> {
           if (!blamedParts.contains(part)) {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -115,7 +115,7 @@
     trace.routed(route, ticket, table.version(), now);
     router.fleet().retryBudget().recordRequest(ticket.service(), now);
     router.fleet().usage().recordDemand(ticket.team(), ticket.cost(), now);
-    Optional<Duration> blame = router.fleet().promptBlame().remainingBlame(ticket.prompt(), now);
+    Optional<Duration> blame = router.fleet().crashBlame().remainingBlame(ticket.prompt(), now);
     if (blame.isPresent()) {
       apply(new Decision.Refused(ticket, Decision.RefusalReason.PROMPT_BLAMED, blame.get()));
       return;
@@ -293,7 +293,7 @@
 
   private boolean recordFailureAndCheckRetry(Verdict failure) {
     attempts.recordRun(failure);
-    boolean suspicious = router.fleet().promptBlame().isSuspicious(ticket.prompt(), router.now());
+    boolean suspicious = router.fleet().crashBlame().isSuspicious(ticket.prompt(), router.now());
     return relay.canResume() && !suspicious && mayRunAgain();
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/SummaryCodec.java
@@ -40,7 +40,7 @@
       packer.packLong(report.availableDigest());
       packer.packBoolean(report.storeFailed());
       PeerMessageCodec.packNumbers(packer, report.leavingUpstreams());
-      packBlamed(packer, report.blamedParts());
+      packBlamed(packer, report.blamed());
       packLimits(packer, report.limits());
       packVersions(packer, report.versions());
       packCounters(packer, report.counters());
@@ -52,7 +52,7 @@
       packer.packBoolean(report.readsStore());
       packer.packBoolean(report.storeFailed());
       PeerMessageCodec.packNumbers(packer, report.leavingUpstreams());
-      packBlamed(packer, report.blamedParts());
+      packBlamed(packer, report.blamed());
       packLimits(packer, report.limits());
       packVersions(packer, report.versions());
       packCounters(packer, report.counters());
@@ -65,7 +65,7 @@
       packer.packBoolean(report.readsStore());
       packer.packBoolean(report.storeFailed());
       PeerMessageCodec.packNumbers(packer, report.leavingUpstreams());
-      packBlamed(packer, report.blamedParts());
+      packBlamed(packer, report.blamed());
       packLimits(packer, report.limits());
       packVersions(packer, report.versions());
       packCounters(packer, report.counters());
--- a/library/src/main/java/org/dandelionbeam/scheduling/SchedulerService.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/SchedulerService.java
@@ -174,7 +174,7 @@
     switch (outcome) {
       case SERVED -> {
         crashDetector.recordServed(upstream);
-        fleet.promptBlame().recordServed(entry.ticket.prompt(), now);
+        fleet.crashBlame().recordServed(entry.ticket.prompt(), now);
       }
       case BROKEN -> {
         boolean isLast = fleet.loads().load(upstream).inFlight() == 0;
@@ -192,10 +192,10 @@
   private void recordCrash(UpstreamCrash crash) {
     newCrashes.add(crash);
     fleet
-        .promptBlame()
+        .crashBlame()
         .recordCrash(
             crash.suspects().stream().map(RequestContent::prompt).toList(), fleet.nowNanos());
-    fleet.promptBlame().blameNext(fleet.nowNanos());
+    fleet.crashBlame().blameNext(fleet.nowNanos());
   }
 
   /**
@@ -296,7 +296,7 @@
     crashDetector
         .findGone(number -> fleet.upstreams().find(number).isPresent(), now)
         .forEach(this::recordCrash);
-    fleet.promptBlame().blameNext(now);
+    fleet.crashBlame().blameNext(now);
     entriesByRouter.values().stream()
         .flatMap(entries -> entries.values().stream())
         .filter(entry -> entry.isOlderThan(CONFIRMATION_TIMEOUT, now))
--- a/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
@@ -176,7 +176,7 @@
             fleet.usage().localUsage(now),
             fleet.usage().localDemand(now),
             fleet.retryBudget().localCounts(now),
-            fleet.promptBlame().localCounts(now));
+            fleet.crashBlame().localCounts(now));
     Set<Integer> available = fleet.members().availableNumbers(now);
     sent.put(sequence, new Sent(counters, available, now));
     return new RouterReport(
@@ -186,7 +186,7 @@
         RouterSetDigest.of(available),
         fleet.hasStoreFailed(),
         fleet.upstreams().leaving(),
-        fleet.promptBlame().blamed(now),
+        fleet.crashBlame().blamed(now),
         fleet.rateLimits().known(now),
         fleet.storeVersions(),
         counters);
@@ -274,7 +274,7 @@
         total.readsStore(),
         total.storeFailed(),
         total.leavingUpstreams(),
-        total.blamedParts(),
+        total.blamed(),
         total.limits(),
         total.versions(),
         total.counters());
@@ -313,7 +313,7 @@
         fleet.readsStore(),
         storeFailed,
         fleet.upstreams().leaving(),
-        fleet.promptBlame().blamed(now),
+        fleet.crashBlame().blamed(now),
         fleet.rateLimits().known(now),
         versions,
         sum.total());
@@ -339,7 +339,7 @@
         readsStore,
         storeFailed,
         fleet.upstreams().leaving(),
-        fleet.promptBlame().blamed(now),
+        fleet.crashBlame().blamed(now),
         fleet.rateLimits().known(now),
         versions,
         sum.total());
@@ -408,7 +408,7 @@
 
   private void receiveRouterReport(RouterReport report, long now) {
     fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
-    fleet.promptBlame().recordBlamed(report.blamedParts(), now);
+    fleet.crashBlame().recordBlamed(report.blamed(), now);
     fleet.rateLimits().recordReported(report.limits(), now);
     fleet.staleStateDetector().recordPeerVersions(report.versions());
     fleet.members().recordReport(report.sender(), report.serving(), now);
@@ -417,7 +417,7 @@
 
   private void receiveRelayReport(RelayReport report, long now) {
     fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
-    fleet.promptBlame().recordBlamed(report.blamedParts(), now);
+    fleet.crashBlame().recordBlamed(report.blamed(), now);
     fleet.rateLimits().recordReported(report.limits(), now);
     fleet.staleStateDetector().recordPeerVersions(report.versions());
     report.serving().forEach(number -> fleet.members().recordPresent(number, true, now));
@@ -428,7 +428,7 @@
 
   private void receiveFleetReport(FleetReport report, long now) {
     fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
-    fleet.promptBlame().recordBlamed(report.blamedParts(), now);
+    fleet.crashBlame().recordBlamed(report.blamed(), now);
     fleet.rateLimits().recordReported(report.limits(), now);
     fleet.staleStateDetector().recordPeerVersions(report.versions());
     recordStoreFailure(report.storeFailed(), now);
@@ -469,7 +469,7 @@
     FleetCounters others = total.minus(part);
     fleet.usage().recordOthers(others, now);
     fleet.retryBudget().recordOthers(others.retries(), now);
-    fleet.promptBlame().recordTotal(total.crashes(), now);
+    fleet.crashBlame().recordTotal(total.crashes(), now);
   }
 
   /** What a report of this router contained, which a fleet report refers to. */
--- a/library/src/main/java/org/dandelionbeam/summary/SummaryMessage.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryMessage.java
@@ -24,7 +24,7 @@
    * @param availableDigest digest of the routers that it takes for available
    * @param storeFailed whether a call of the router to the store has failed lately
    * @param leavingUpstreams numbers of the upstreams that it knows to leave
-   * @param blamedParts time until the blame ends, by hash of the part of prompts that it blames
+   * @param blamed time until the blame ends, by hash of the part of prompts that it blames
    * @param limits rate limits that upstreams have named, by number of the upstream
    * @param versions versions of the data that it has read from the store
    * @param counters its own part of the sums
@@ -36,7 +36,7 @@
       long availableDigest,
       boolean storeFailed,
       Set<Integer> leavingUpstreams,
-      Map<Long, Duration> blamedParts,
+      Map<Long, Duration> blamed,
       Map<Integer, RateLimits.Reported> limits,
       StoreVersions versions,
       FleetCounters counters)
@@ -45,7 +45,7 @@
     public RouterReport {
       requireNonNull(sender, "sender");
       leavingUpstreams = Set.copyOf(leavingUpstreams);
-      blamedParts = Map.copyOf(blamedParts);
+      blamed = Map.copyOf(blamed);
       limits = Map.copyOf(limits);
     }
   }
@@ -59,7 +59,7 @@
    * @param readsStore whether the relay itself can read the store
    * @param storeFailed whether a call of any of them to the store has failed lately
    * @param leavingUpstreams numbers of the upstreams that these routers know to leave
-   * @param blamedParts parts of prompts that the relay blames, as in a router's report
+   * @param blamed parts of prompts that the relay blames, as in a router's report
    * @param limits rate limits that the relay knows, as in a router's report
    * @param versions newest versions that any of these routers has read
    * @param counters sum of the counters of these routers
@@ -71,7 +71,7 @@
       boolean readsStore,
       boolean storeFailed,
       Set<Integer> leavingUpstreams,
-      Map<Long, Duration> blamedParts,
+      Map<Long, Duration> blamed,
       Map<Integer, RateLimits.Reported> limits,
       StoreVersions versions,
       FleetCounters counters)
@@ -82,7 +82,7 @@
       serving = Set.copyOf(serving);
       leaving = Set.copyOf(leaving);
       leavingUpstreams = Set.copyOf(leavingUpstreams);
-      blamedParts = Map.copyOf(blamedParts);
+      blamed = Map.copyOf(blamed);
       limits = Map.copyOf(limits);
     }
   }
@@ -98,7 +98,7 @@
    * @param readsStore whether any relay can read the store
    * @param storeFailed whether a call of any router to the store has failed lately
    * @param leavingUpstreams numbers of the upstreams that any router knows to leave
-   * @param blamedParts parts of prompts that the relay blames, as in a router's report
+   * @param blamed parts of prompts that the relay blames, as in a router's report
    * @param limits rate limits that the relay knows, as in a router's report
    * @param versions newest versions that any router has read
    * @param counters sum of the counters of all routers
@@ -111,7 +111,7 @@
       boolean readsStore,
       boolean storeFailed,
       Set<Integer> leavingUpstreams,
-      Map<Long, Duration> blamedParts,
+      Map<Long, Duration> blamed,
       Map<Integer, RateLimits.Reported> limits,
       StoreVersions versions,
       FleetCounters counters)
@@ -122,7 +122,7 @@
       available = available.map(Set::copyOf);
       unavailable = Set.copyOf(unavailable);
       leavingUpstreams = Set.copyOf(leavingUpstreams);
-      blamedParts = Map.copyOf(blamedParts);
+      blamed = Map.copyOf(blamed);
       limits = Map.copyOf(limits);
     }
   }
--- a/library/src/test/java/org/dandelionbeam/routing/PromptBlameTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/CrashBlameTest.java
@@ -17,7 +17,7 @@
 import org.testng.annotations.Test;
 
 /** Which parts of prompts are blamed for crashes, and for how long. */
-public class PromptBlameTest {
+public class CrashBlameTest {
   private static final long MS = 1_000_000L;
   private static final int RUNS = 1_000;
   private static final int RUNS_PER_ROW = 100;
@@ -35,7 +35,7 @@
             new PromptProfile.Part(PromptProfile.hashOf(first + middle), 2_000)));
   }
 
-  private static void crash(PromptBlame blame, long atMs, PromptProfile... suspects) {
+  private static void crash(CrashBlame blame, long atMs, PromptProfile... suspects) {
     blame.recordCrash(List.of(suspects), atMs * MS);
   }
 
@@ -73,7 +73,7 @@
 
   @Test
   public void partIsBlamedAfterThreeCrashesThatHaveNoOtherInCommon() {
-    PromptBlame blame = PromptBlame.create();
+    CrashBlame blame = CrashBlame.create();
     crash(blame, 0, prompt("a", "x"), prompt("b", "y"));
     crash(blame, 1_000, prompt("a", "z"));
     assertTrue(blame.blameNext(1_000 * MS).isEmpty());
@@ -86,7 +86,7 @@
 
   @Test
   public void servedRequestClearsTheCrashesBeforeIt() {
-    PromptBlame blame = PromptBlame.create();
+    CrashBlame blame = CrashBlame.create();
     crash(blame, 0, prompt("a", "x"));
     crash(blame, 1_000, prompt("a", "y"));
     blame.recordServed(prompt("a", "z"), 1_200 * MS);
@@ -99,7 +99,7 @@
   // Guards against a sound part that is blamed as its engines were lost together.
   @Test
   public void enginesThatAreLostTogetherBlameNoPartThatWasServedBefore() {
-    PromptBlame blame = PromptBlame.create();
+    CrashBlame blame = CrashBlame.create();
     blame.recordServed(prompt("a", "x"), 0);
     IntStream.range(0, 6).forEach(i -> crash(blame, 500 + i, prompt("a", "x")));
 
@@ -109,7 +109,7 @@
   // Guards against parts that a crashing one drags along.
   @Test
   public void crashUnderABlamedPartCountsAgainstNoOther() {
-    PromptBlame blame = PromptBlame.create();
+    CrashBlame blame = CrashBlame.create();
     crash(blame, 0, prompt("a", "x"));
     crash(blame, 1_000, prompt("a", "x"));
     crash(blame, 2_000, prompt("a", "y"));
@@ -123,8 +123,8 @@
   // Guards against schedulers that see one crash each and blame nothing.
   @Test
   public void crashesAtSeveralSchedulersAddUp() {
-    PromptBlame here = PromptBlame.create();
-    PromptBlame there = PromptBlame.create();
+    CrashBlame here = CrashBlame.create();
+    CrashBlame there = CrashBlame.create();
     crash(here, 0, prompt("a", "x"));
     crash(there, 1_000, prompt("a", "y"));
     crash(there, 2_000, prompt("a", "z"));
@@ -135,7 +135,7 @@
     assertTrue(there.remainingBlame(prompt("a", "v"), 2_500 * MS).isPresent());
   }
 
-  private static Map<Long, CrashCounts> sum(PromptBlame one, PromptBlame other, long nowMs) {
+  private static Map<Long, CrashCounts> sum(CrashBlame one, CrashBlame other, long nowMs) {
     FleetCounters.Sum sum = new FleetCounters.Sum();
     sum.add(new FleetCounters(Map.of(), Map.of(), Map.of(), one.localCounts(nowMs * MS)));
     sum.add(new FleetCounters(Map.of(), Map.of(), Map.of(), other.localCounts(nowMs * MS)));
@@ -145,8 +145,8 @@
   // Guards against two routers that keep a blame alive by telling each other of it.
   @Test
   public void blameEndsAlthoughRoutersRepeatIt() {
-    PromptBlame one = PromptBlame.create();
-    PromptBlame other = PromptBlame.create();
+    CrashBlame one = CrashBlame.create();
+    CrashBlame other = CrashBlame.create();
     one.recordBlamed(Map.of(7L, Duration.ofSeconds(20)), 0);
     for (long ms = 0; ms < 40_000; ms += 100) {
       other.recordBlamed(one.blamed(ms * MS), (ms + 50) * MS);
@@ -160,7 +160,7 @@
   // Guards against memory that callers can fill with parts of their choice.
   @Test
   public void countsAndBlamesAreBounded() {
-    PromptBlame blame = PromptBlame.create();
+    CrashBlame blame = CrashBlame.create();
     for (int i = 0; i < 20_000; i++) {
       crash(blame, i, prompt("a" + i, "b" + i));
       blame.recordServed(prompt("c" + i, "d" + i), i * MS);
--- a/library/src/test/java/org/dandelionbeam/routing/CrashingPartsModel.java
+++ b/library/src/test/java/org/dandelionbeam/routing/CrashingPartsModel.java
@@ -30,7 +30,7 @@
 
   private final Random random;
   private final List<Engine> engines = new ArrayList<>();
-  private final List<PromptBlame> schedulers = new ArrayList<>();
+  private final List<CrashBlame> schedulers = new ArrayList<>();
   private final Map<Integer, Map<Long, Duration>> blamedAtMs = new HashMap<>();
   private final Map<Integer, Map<Long, CrashCounts>> totalAtMs = new HashMap<>();
   private final PriorityQueue<Event> events =
@@ -127,7 +127,7 @@
     this.settings = settings;
     random = new Random(settings.seed());
     int count = (settings.engines() + ENGINES_PER_SCHEDULER - 1) / ENGINES_PER_SCHEDULER;
-    IntStream.range(0, count).forEach(i -> schedulers.add(PromptBlame.create()));
+    IntStream.range(0, count).forEach(i -> schedulers.add(CrashBlame.create()));
     for (int i = 0; i < settings.engines(); i++) {
       Engine engine = new Engine();
       engine.scheduler = i % count;
@@ -255,7 +255,7 @@
     engine.running.clear();
     engine.upFromMs = nowMs + 1_000 + random.nextInt(settings.startMs());
     if (noticed) {
-      PromptBlame blame = schedulers.get(engine.scheduler);
+      CrashBlame blame = schedulers.get(engine.scheduler);
       at(
           nowMs + 1 + random.nextInt(settings.noticeMs()),
           () -> {
@@ -268,7 +268,7 @@
   private void exchangeReports() {
     Map<Long, CrashCounts> sum = new HashMap<>();
     Map<Long, Duration> blamed = new HashMap<>();
-    for (PromptBlame blame : schedulers) {
+    for (CrashBlame blame : schedulers) {
       blame
           .localCounts(now())
           .forEach((part, counts) -> sum.merge(part, counts, CrashCounts::plus));
@@ -279,7 +279,7 @@
     Map<Long, CrashCounts> total = totalAtMs.remove(nowMs);
     Map<Long, Duration> arriving = blamedAtMs.remove(nowMs);
     if (total != null) {
-      for (PromptBlame blame : schedulers) {
+      for (CrashBlame blame : schedulers) {
         blame.recordTotal(total, now());
         blame.recordBlamed(arriving, now());
         blame.blameNext(now());
