--- a/library/src/test/java/org/dandelionbeam/routing/CrashingPromptTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/CrashingPromptTest.java
@@ -41,7 +41,7 @@
   public void promptPartThatCrashesEnginesIsNoLongerSent(
       long seed, int routers, int engines, Place place, int crashingPerSecond) {
     SimulatedFleet fleet = new SimulatedFleet(routers, engines, TOKENS_PER_MS);
-    fleet.crashOn("crashing");
+    fleet.crashOn(new Suspect(Suspect.Kind.PROMPT_PART, PromptProfile.hashOf("crashing")));
     Random random = new Random(seed);
     double soundPerMs = 0.5 * engines * TOKENS_PER_MS / 2_000;
     for (int ms = 0; ms < DAY_MS; ms++) {
@@ -56,12 +56,12 @@
       fleet.step();
     }
 
-    List<Long> crashes = fleet.crashesMs();
+    List<Long> crashes = fleet.crashes().crashesMs;
     if (crashes.size() < 5) {
       return;
     }
     long bound = crashes.get(4) + STABLE_MS;
-    long late = fleet.crashingRequestsMs().stream().filter(at -> at > bound).count();
+    long late = fleet.crashes().crashingRequestsMs.stream().filter(at -> at > bound).count();
     assertTrue(
         late <= TOLERATED_REQUESTS,
         late + " requests sent after " + bound + " ms; crashes at " + crashes);
--- a/library/src/test/java/org/dandelionbeam/routing/CrashingRequestTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/CrashingRequestTest.java
@@ -91,7 +91,7 @@
     List<Long> crashes = run.crashesUnderRequest;
     assertTrue(crashes.size() >= 3, "crashes at " + crashes);
     long bound = crashes.get(2) + STABLE_MS;
-    long late = run.fleet.crashingRequestsMs().stream().filter(at -> at > bound).count();
+    long late = run.fleet.crashes().crashingRequestsMs.stream().filter(at -> at > bound).count();
     assertTrue(
         late <= TOLERATED_REQUESTS,
         late + " requests sent after " + bound + " ms; crashes at " + crashes);
@@ -131,7 +131,7 @@
       this.day = day;
       random = new Random(day.seed);
       fleet = new SimulatedFleet(day.routers, day.upstreams, TOKENS_PER_MS);
-      fleet.crashOn(CRASHING);
+      fleet.crashOn(Suspect.of(CRASHING));
       fleet.repeatBrokenRequests();
       crashing = new RequestContent(Optional.of(CRASHING), day.kind.prompt(random));
     }
@@ -161,7 +161,7 @@
         }
         fleet.step();
       }
-      crashesUnderRequest.addAll(fleet.crashesUnderRequestsMs());
+      crashesUnderRequest.addAll(fleet.crashes().crashesUnderRequestsMs);
     }
 
     private void submitSound() {
--- a/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
@@ -5,7 +5,6 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -54,11 +53,7 @@
   private final Map<InstanceId, SimulatedEngine> engines = new HashMap<>();
   private final Random random = new Random(1);
   private final Map<Long, Runnable> later = new TreeMap<>();
-  private final Set<Long> crashingParts = new HashSet<>();
-  private final Set<RequestDigest> crashingRequests = new HashSet<>();
-  private final List<Long> crashesMs = new ArrayList<>();
-  private final List<Long> crashesUnderRequestsMs = new ArrayList<>();
-  private final List<Long> crashingRequestsMs = new ArrayList<>();
+  private final SimulatedCrashes crashes = new SimulatedCrashes();
   private int instances;
   private List<Runnable> sent = new ArrayList<>();
   private final Set<Ticket> repeated = Collections.newSetFromMap(new IdentityHashMap<>());
@@ -92,14 +87,9 @@
     routers.forEach(router -> router.state.upstreams().put(instance, nowMs * MS));
   }
 
-  /** Lets each engine crash that begins to answer a request with a part. */
-  public void crashOn(String part) {
-    crashingParts.add(PromptProfile.hashOf(part));
-  }
-
-  /** Lets each engine crash that begins to answer a request. */
-  void crashOn(RequestDigest request) {
-    crashingRequests.add(request);
+  /** Lets each engine crash that begins to answer a request with a suspect. */
+  void crashOn(Suspect suspect) {
+    crashes.crashOn(suspect);
   }
 
   /** Lets routers send a request once more whose exchange broke off, as long as it is allowed. */
@@ -107,32 +97,16 @@
     repeatsBroken = true;
   }
 
-  /** Returns the times of the crashes. */
-  public List<Long> crashesMs() {
-    return crashesMs;
-  }
-
-  /** Returns the times of the crashes under requests that crash engines. */
-  List<Long> crashesUnderRequestsMs() {
-    return crashesUnderRequestsMs;
-  }
-
-  /** Returns when requests that crash engines reached them. */
-  public List<Long> crashingRequestsMs() {
-    return crashingRequestsMs;
-  }
-
-  private boolean crashes(RequestContent content) {
-    return content.digest().filter(crashingRequests::contains).isPresent()
-        || content.prompt().sharedParts().stream()
-            .anyMatch(part -> crashingParts.contains(part.hash()));
+  /** Returns what has crashed. */
+  SimulatedCrashes crashes() {
+    return crashes;
   }
 
   /** Lets an engine crash; its entry lapses later, and another one starts in its place. */
   public void crash(InstanceId id) {
     SimulatedEngine engine = engines.get(id);
     engine.crashed = true;
-    crashesMs.add(nowMs);
+    crashes.crashesMs.add(nowMs);
     List<SimulatedEngine.Work> broken = List.copyOf(engine.queue);
     engine.queue.clear();
     broken.forEach(work -> work.router.broken(work));
@@ -284,8 +258,8 @@
       work.prefillTokens -= read;
       left -= read;
       if (work.prefillTokens <= 0) {
-        if (crashes(work.grant.ticket().content())) {
-          crashesUnderRequestsMs.add(nowMs);
+        if (crashes.isCrashing(work.grant.ticket().content())) {
+          crashes.crashesUnderRequestsMs.add(nowMs);
           crash(engine.instance.id());
           return;
         }
@@ -473,8 +447,8 @@
           execute(client.recordEnd(grant.ticket(), Outcome.UNREACHABLE));
           return;
         }
-        if (crashes(grant.ticket().content())) {
-          crashingRequestsMs.add(nowMs);
+        if (crashes.isCrashing(grant.ticket().content())) {
+          crashes.crashingRequestsMs.add(nowMs);
         }
         long prefillTokens = engine.prefillTokensOf(grant.ticket().prompt());
         long own = grant.ticket().prompt().unsharedTokens();
