--- a/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
+++ b/library/src/test/java/org/dandelionbeam/routing/SimulatedFleet.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import org.dandelionbeam.base.FailureDomain;
 import org.dandelionbeam.scheduling.Outcome;
 import org.dandelionbeam.scheduling.ScheduleRequest;
@@ -46,13 +45,11 @@
   /** Time after which another engine starts in place of a crashed one. */
   private static final int ENGINE_START_MS = 3_000;
 
-  private static final long MAX_TASKS_PER_MS = 1_000;
-
   private final double tokensPerMs;
   private final List<Router> routers = new ArrayList<>();
   private final Map<InstanceId, SimulatedEngine> engines = new HashMap<>();
   private final Random random = new Random(1);
-  private final Map<Long, Runnable> later = new TreeMap<>();
+  private final VirtualTimer timer = new VirtualTimer();
   private final SimulatedCrashes crashes = new SimulatedCrashes();
   private int instances;
   private List<Runnable> sent = new ArrayList<>();
@@ -110,9 +107,10 @@
     List<SimulatedEngine.Work> broken = List.copyOf(engine.queue);
     engine.queue.clear();
     broken.forEach(work -> work.router.broken(work));
-    schedule(
-        ENTRY_LAPSE_MS, () -> routers.forEach(r -> r.state.upstreams().remove(id, nowMs * MS)));
-    schedule(ENGINE_START_MS, this::startEngine);
+    timer.schedule(
+        nowMs + ENTRY_LAPSE_MS,
+        () -> routers.forEach(r -> r.state.upstreams().remove(id, nowMs * MS)));
+    timer.schedule(nowMs + ENGINE_START_MS, this::startEngine);
   }
 
   /** Lets an engine name a limit in its responses from now on; its next responses name it. */
@@ -134,20 +132,6 @@
         .toList();
   }
 
-  private void schedule(int delayMs, Runnable task) {
-    long key = (nowMs + delayMs) * MAX_TASKS_PER_MS;
-    while (later.containsKey(key)) {
-      key++;
-    }
-    later.put(key, task);
-  }
-
-  private void runScheduled() {
-    List<Long> due =
-        later.keySet().stream().filter(key -> key < (nowMs + 1) * MAX_TASKS_PER_MS).toList();
-    due.forEach(key -> later.remove(key).run());
-  }
-
   public static UpstreamInstance instance(String id, int coldMs) {
     return new UpstreamInstance(
         InstanceId.of(id),
@@ -219,7 +203,7 @@
     sent = new ArrayList<>();
     arriving.forEach(Runnable::run);
     routers.stream().filter(Router::runs).forEach(Router::readPending);
-    runScheduled();
+    timer.run(nowMs);
     List.copyOf(engines.values()).forEach(this::prefill);
     for (int i = 0; i < routers.size(); i++) {
       Router router = routers.get(i);
