Take no response for the answer to a request that it doesn't name, on a connection used before

Further report: a faulty upstream wrote an earlier refusal once more on a kept connection. Callers were told that a request which was running had not run, or it ran at a second upstream too. A response that names another request was skipped already; one that names none was taken for the answer to the request at hand. It fails the exchange now, as it proves nothing about that request, and closes the connection. On a new connection nothing earlier can arrive.

--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamConnection.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamConnection.java
@@ -25,6 +25,7 @@
   private long idleTimeoutNanos = DEFAULT_IDLE_TIMEOUT.toNanos();
   private long idleSinceNanos = System.nanoTime();
   private boolean unusable;
+  private int exchangeCount;
 
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
@@ -52,6 +53,7 @@
   /** Starts an exchange, whose request is sent next. */
   void start(UpstreamExchange newExchange, boolean isHeadRequest) {
     exchange = newExchange;
+    exchangeCount++;
     decoder().expectResponse(isHeadRequest);
   }
 
@@ -59,6 +61,11 @@
     return channel.pipeline().get(UpstreamResponseDecoder.class);
   }
 
+  /** Tells whether the connection has carried another exchange before the current one. */
+  boolean isReused() {
+    return exchangeCount > 1;
+  }
+
   /** Records that the head of the response has arrived. */
   void recordResponseStart() {
     decoder().recordStart();
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamExchange.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamExchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
 import org.dandelionbeam.base.Verdict;
 
 /** A request to an upstream and its response. Confined to one event loop. */
@@ -50,6 +51,14 @@
   private BodyFraming framing = BodyFraming.CLOSE;
   private boolean keepAlive;
 
+  /**
+   * Creates an exchange that hasn't begun.
+   *
+   * @param dialect translates the headers of the response
+   * @param request the request, which is released when it is written
+   * @param requestId id that the response repeats, empty if responses to such requests have none
+   * @param listener receives the response
+   */
   UpstreamExchange(
       HttpDialect dialect, FullHttpRequest request, String requestId, Listener listener) {
     this.dialect = requireNonNull(dialect, "dialect");
@@ -111,12 +120,16 @@
 
   private void receivedHead(HttpResponse head) {
     HttpDialect.ResponseMetadata metadata = dialect.readResponse(head);
-    boolean forOtherRequest =
-        metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId);
+    Optional<String> respondedId = metadata.requestId().filter(id -> !id.isEmpty());
+    boolean forOtherRequest = respondedId.filter(id -> !id.equals(requestId)).isPresent();
     skippingResponse = forOtherRequest || head.status().code() < FIRST_FINAL_STATUS;
     if (skippingResponse) {
       return;
     }
+    if (respondedId.isEmpty() && mayBeOfEarlierRequest()) {
+      fail("response without a request id, which may be an earlier one, status " + head.status());
+      return;
+    }
     headSeen = true;
     connection.recordResponseStart();
     framing = BodyFraming.of(head, isHeadRequest);
@@ -125,6 +138,11 @@
     listener.head(head, metadata);
   }
 
+  /** Tells whether a response that names no request may belong to an earlier one. */
+  private boolean mayBeOfEarlierRequest() {
+    return !requestId.isEmpty() && connection.isReused();
+  }
+
   private void receivedContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
     if (skippingResponse) {
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/ResponseEndTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/ResponseEndTest.java
@@ -2,27 +2,15 @@
 
 import static org.testng.Assert.assertEquals;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.stream.Stream;
-import org.dandelionbeam.base.Verdict;
-import org.dandelionbeam.routing.Endpoint;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -33,33 +21,6 @@
   private static final String UNFRAMED = OK + "\r\nbody";
   private static final String FAILED = "failed MAY_HAVE_RUN";
 
-  /** Notes the outcome of an exchange. */
-  private static final class RecordingListener implements UpstreamExchange.Listener {
-    private final StringBuilder body = new StringBuilder();
-    private String outcome = "open";
-
-    @Override
-    public void head(HttpResponse head, HttpDialect.ResponseMetadata metadata) {}
-
-    @Override
-    public void content(ByteBuf part) {
-      body.append(part.toString(StandardCharsets.US_ASCII));
-    }
-
-    @Override
-    public void readComplete() {}
-
-    @Override
-    public void complete(BodyFraming framing) {
-      outcome = "complete";
-    }
-
-    @Override
-    public void failed(Verdict verdict, String cause) {
-      outcome = "failed " + verdict;
-    }
-  }
-
   /** Holds what is written, as a socket does whose peer does not read. */
   private static final class UnsentWrites extends ChannelOutboundHandlerAdapter {
     @Override
@@ -68,13 +29,6 @@
     }
   }
 
-  private RecordingListener listener;
-
-  @BeforeMethod
-  public void createListener() {
-    listener = new RecordingListener();
-  }
-
   /** What happens to the connection after the bytes have arrived. */
   private enum Ending {
     OPEN {
@@ -98,23 +52,6 @@
     abstract void apply(EmbeddedChannel channel);
   }
 
-  private EmbeddedChannel startExchange(HttpMethod method, ChannelHandler... first) {
-    EmbeddedChannel channel = new EmbeddedChannel();
-    channel.pipeline().addLast(first).addLast(new UpstreamConnectionPool.Pipeline());
-    UpstreamConnectionPool pool =
-        new UpstreamConnectionPool(channel.eventLoop(), UnpooledByteBufAllocator.DEFAULT);
-    UpstreamConnection connection = channel.pipeline().get(UpstreamConnection.class);
-    connection.attachTo(pool, new Endpoint("10.0.0.1", 80));
-    FullHttpRequest request =
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/", Unpooled.EMPTY_BUFFER);
-    new UpstreamExchange(new PlainDialect(), request, REQUEST_ID, listener).connected(connection);
-    return channel;
-  }
-
-  private static void receive(EmbeddedChannel channel, String bytes) {
-    channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
-  }
-
   // Rows: bytes, what the connection does then, outcome, body, whether the connection stays open.
 
   private static Object[][] endingsOfKnownLength() {
@@ -194,35 +131,38 @@
   @Test(dataProvider = "endings")
   public void responseIsCompleteOnlyIfItsFramingSaysSo(
       String bytes, Ending ending, String outcome, String body, boolean staysOpen) {
-    EmbeddedChannel channel = startExchange(HttpMethod.POST);
-    receive(channel, bytes);
+    UpstreamChannel channel = new UpstreamChannel();
+    UpstreamChannel.Exchange exchange = channel.send(HttpMethod.POST, REQUEST_ID);
+    channel.receive(bytes);
 
-    ending.apply(channel);
+    ending.apply(channel.netty());
 
-    assertEquals(listener.outcome, outcome);
-    assertEquals(listener.body.toString(), body);
-    assertEquals(channel.isActive(), staysOpen);
+    assertEquals(exchange.outcome, outcome);
+    assertEquals(exchange.body.toString(), body);
+    assertEquals(channel.netty().isActive(), staysOpen);
   }
 
   // Guards against a router that waits for the body of a response that has none.
   @Test
   public void responseToHeadEndsWithItsHeaders() {
-    EmbeddedChannel channel = startExchange(HttpMethod.HEAD);
+    UpstreamChannel channel = new UpstreamChannel();
+    UpstreamChannel.Exchange exchange = channel.send(HttpMethod.HEAD, REQUEST_ID);
 
-    receive(channel, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+    channel.receive("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
 
-    assertEquals(listener.outcome, "complete");
-    assertEquals(channel.isActive(), true);
+    assertEquals(exchange.outcome, "complete");
+    assertEquals(channel.netty().isActive(), true);
   }
 
   // Guards against a response that looks complete as the connection closed on a failed write.
   @Test
   public void unframedResponseIsBrokenIfTheRequestCouldNotBeWritten() {
-    EmbeddedChannel channel = startExchange(HttpMethod.POST, new UnsentWrites());
-    receive(channel, UNFRAMED);
+    UpstreamChannel channel = new UpstreamChannel(new UnsentWrites());
+    UpstreamChannel.Exchange exchange = channel.send(HttpMethod.POST, REQUEST_ID);
+    channel.receive(UNFRAMED);
 
-    channel.close();
+    channel.netty().close();
 
-    assertEquals(listener.outcome, FAILED);
+    assertEquals(exchange.outcome, FAILED);
   }
 }
