Go on with a stream only by a response of the same status and type

Further report: a stream had begun and broke off, and the next upstream answered with something else. Errors from 400 on were refused, but a 204, 302 or 304 ended the caller's stream as if it were complete, a 206 was passed on, and an unframed empty answer that closed its connection counted as the end since the first upstream had sent events.

--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -170,7 +170,7 @@
       relay.start(newHead, route.kind() == RouteKind.STREAMING && status < FIRST_ERROR_STATUS);
     }
     router.feedback().record(attempt.instance(), newHead, newMetadata);
-    boolean usable = newMetadata.signed() && !(resumed && status >= FIRST_ERROR_STATUS);
+    boolean usable = newMetadata.signed() && (!resumed || relay.isContinuedBy(newHead));
     if (!attempt.isRejected() && !usable) {
       trace.step("unusable_answer", "status=" + status, router.now());
       attempt.abandon();
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/ResponseRelay.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/ResponseRelay.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -66,6 +67,21 @@
     streams = isStream;
   }
 
+  /**
+   * Tells whether the response of another upstream goes on with the stream that was begun.
+   *
+   * @param newHead status line and headers of that response
+   * @return false if its status or its type of content is another one
+   */
+  boolean isContinuedBy(HttpResponse newHead) {
+    return newHead.status().equals(head.status())
+        && Objects.equals(contentType(newHead), contentType(head));
+  }
+
+  private static String contentType(HttpResponse response) {
+    return response.headers().get(HttpHeaderNames.CONTENT_TYPE);
+  }
+
   int status() {
     return head.status().code();
   }
@@ -176,6 +192,6 @@
       buffered.release();
       buffered = null;
     }
-    splitter.ifPresent(SseEventSplitter::dropPartialEvent);
+    splitter.ifPresent(SseEventSplitter::startNextUpstream);
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/SseEventScanner.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/SseEventScanner.java
@@ -73,7 +73,7 @@
     return insideEvent;
   }
 
-  /** Tells whether any event is complete. */
+  /** Tells whether any event of the current upstream is complete. */
   boolean hasEvents() {
     return hasEvents;
   }
@@ -83,8 +83,9 @@
     return Optional.ofNullable(lastEventId);
   }
 
-  /** Forgets an incomplete event, so that the next byte starts a new one. */
-  void dropPartialEvent() {
+  /** Forgets an incomplete event; the next byte starts the first event of another upstream. */
+  void startNextUpstream() {
+    hasEvents = false;
     lineLength = 0;
     insideEvent = false;
     afterCarriageReturn = false;
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/SseEventSplitter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/SseEventSplitter.java
@@ -51,9 +51,9 @@
   }
 
   /** Discards an incomplete event, whose upstream broke off. */
-  void dropPartialEvent() {
+  void startNextUpstream() {
     buffer.clear();
-    scanner.dropPartialEvent();
+    scanner.startNextUpstream();
   }
 
   /**
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/SseEventScannerTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/SseEventScannerTest.java
@@ -51,7 +51,7 @@
     SseEventScanner scanner = new SseEventScanner();
     scan(scanner, "id: 1\n\nid: 2\ndat");
 
-    scanner.dropPartialEvent();
+    scanner.startNextUpstream();
 
     assertEquals(scanner.isInsideEvent(), false);
     assertEquals(scan(scanner, "data: b\n\n"), 1);
