Keep the digest of requests that a scheduler takes over from a lost one

A crash under such a request counted for nothing, since its successor did not know which request it was. The digest is part of the confirmations now (nine bytes a running request); parts of prompts are not.

--- a/library/src/main/java/org/dandelionbeam/routing/Ticket.java
+++ b/library/src/main/java/org/dandelionbeam/routing/Ticket.java
@@ -53,12 +53,15 @@
    *
    * @param number number of the ticket, unique at this router
    * @param service service of the request
+   * @param digest digest of the request, empty if it isn't known
    * @param nowNanos monotonic time
    * @return the ticket
    */
-  public static Ticket adopted(long number, ServiceName service, long nowNanos) {
+  public static Ticket adopted(
+      long number, ServiceName service, Optional<RequestDigest> digest, long nowNanos) {
     return builder(number)
         .request(service, UNKNOWN_TEAM, PromptProfile.NONE)
+        .digest(digest)
         .times(nowNanos, nowNanos, nowNanos)
         .build();
   }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/ScheduleCodec.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/ScheduleCodec.java
@@ -125,11 +125,7 @@
   }
 
   private static void packContent(MessagePacker packer, RequestContent content) throws IOException {
-    if (content.digest().isPresent()) {
-      packer.packLong(content.digest().get().value());
-    } else {
-      packer.packNil();
-    }
+    packDigest(packer, content.digest());
     PromptProfile prompt = content.prompt();
     packer.packLong(prompt.promptTokens());
     packer.packLong(prompt.outputTokens());
@@ -141,10 +137,7 @@
   }
 
   private static RequestContent unpackContent(MessageUnpacker unpacker) throws IOException {
-    Optional<RequestDigest> digest =
-        unpacker.tryUnpackNil()
-            ? Optional.empty()
-            : Optional.of(new RequestDigest(unpacker.unpackLong()));
+    Optional<RequestDigest> digest = unpackDigest(unpacker);
     long promptTokens = unpacker.unpackLong();
     long outputTokens = unpacker.unpackLong();
     int partCount = unpacker.unpackArrayHeader();
@@ -155,6 +148,21 @@
     return new RequestContent(digest, new PromptProfile(promptTokens, outputTokens, parts));
   }
 
+  private static void packDigest(MessagePacker packer, Optional<RequestDigest> digest)
+      throws IOException {
+    if (digest.isPresent()) {
+      packer.packLong(digest.get().value());
+    } else {
+      packer.packNil();
+    }
+  }
+
+  private static Optional<RequestDigest> unpackDigest(MessageUnpacker unpacker) throws IOException {
+    return unpacker.tryUnpackNil()
+        ? Optional.empty()
+        : Optional.of(new RequestDigest(unpacker.unpackLong()));
+  }
+
   private static void packSync(MessagePacker packer, ScheduleRequest.Sync sync) throws IOException {
     packer.packArrayHeader(sync.waiting().size());
     for (long id : sync.waiting()) {
@@ -163,6 +171,7 @@
     packer.packArrayHeader(sync.running().size());
     for (ScheduleRequest.Running running : sync.running()) {
       packer.packLong(running.id());
+      packDigest(packer, running.digest());
       packer.packInt(running.upstream());
       packLoad(packer, running.load());
       packer.packBoolean(running.outputSeen());
@@ -181,6 +190,7 @@
       running.add(
           new ScheduleRequest.Running(
               unpacker.unpackLong(),
+              unpackDigest(unpacker),
               unpacker.unpackInt(),
               unpackLoad(unpacker),
               unpacker.unpackBoolean()));
--- a/library/src/main/java/org/dandelionbeam/scheduling/PendingSubmission.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/PendingSubmission.java
@@ -31,6 +31,10 @@
   ScheduleRequest.Running running() {
     Decision.Granted granted = grant.orElseThrow();
     return new ScheduleRequest.Running(
-        ticket.number(), granted.instance().number(), granted.addedLoad(), outputSeen);
+        ticket.number(),
+        ticket.content().digest(),
+        granted.instance().number(),
+        granted.addedLoad(),
+        outputSeen);
   }
 }
--- a/library/src/main/java/org/dandelionbeam/scheduling/ScheduleRequest.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/ScheduleRequest.java
@@ -4,6 +4,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.dandelionbeam.routing.RequestDigest;
 import org.dandelionbeam.routing.UpstreamLoad;
 
 /**
@@ -85,13 +87,20 @@
    * A granted submission that has not ended.
    *
    * @param id number of the submission
+   * @param digest digest of the request, empty if it isn't known
    * @param upstream number of the upstream
    * @param load load that it adds to the upstream
    * @param outputSeen whether the upstream has begun to respond
    */
-  record Running(long id, int upstream, UpstreamLoad load, boolean outputSeen) {
+  record Running(
+      long id,
+      Optional<RequestDigest> digest,
+      int upstream,
+      UpstreamLoad load,
+      boolean outputSeen) {
     /** Checks the values. */
     public Running {
+      requireNonNull(digest, "digest");
       requireNonNull(load, "load");
     }
   }
--- a/library/src/main/java/org/dandelionbeam/scheduling/SchedulerService.java
+++ b/library/src/main/java/org/dandelionbeam/scheduling/SchedulerService.java
@@ -253,7 +253,8 @@
 
   private void adopt(RouterName from, Running running, UpstreamInstance instance) {
     lastTicketNumber++;
-    Ticket ticket = Ticket.adopted(lastTicketNumber, instance.service(), fleet.nowNanos());
+    Ticket ticket =
+        Ticket.adopted(lastTicketNumber, instance.service(), running.digest(), fleet.nowNanos());
     Entry entry = new Entry(from, running.id(), ticket, fleet.nowNanos());
     Decision.Granted grant = new Decision.Granted(ticket, instance, running.load(), 0);
     fleet.loads().add(instance.number(), running.load());
--- a/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/wiring/PeerMessageCodecTest.java
@@ -117,7 +117,10 @@
             new ScheduleRequest.FirstOutput(3, 40),
             new ScheduleRequest.End(4, Outcome.BROKEN),
             new ScheduleRequest.Sync(
-                List.of(5L), List.of(new ScheduleRequest.Running(6, 7, LOAD, true))));
+                List.of(5L),
+                List.of(
+                    new ScheduleRequest.Running(
+                        6, Optional.of(new RequestDigest(11)), 7, LOAD, true))));
     List<ScheduleReply> replies =
         List.of(
             new ScheduleReply.Granted(1, -5, LOAD, 70),
