Keep what is blamed for crashes in the store, beyond a stop of all routers

Blame was in memory only: after a kill of all routers at once, three more upstreams had to crash before it was back.

--- a/library/src/main/java/org/dandelionbeam/routing/CrashBlame.java
+++ b/library/src/main/java/org/dandelionbeam/routing/CrashBlame.java
@@ -53,6 +53,7 @@
 
   private final CrashEvidence evidence = new CrashEvidence();
   private final Map<Suspect, Long> blamedUntilNanos = new LinkedHashMap<>();
+  private final List<Blame> decided = new ArrayList<>();
   private long settledNanos = Long.MIN_VALUE;
 
   private CrashBlame() {}
@@ -126,13 +127,27 @@
     for (Suspect.Kind kind : Suspect.Kind.values()) {
       List<Suspect> guilty = guilty(kind, counts, nowNanos);
       if (!guilty.isEmpty()) {
-        guilty.forEach(suspect -> blame(suspect, nowNanos + HOLD_TIME.toNanos(), nowNanos));
+        for (Suspect suspect : guilty) {
+          blame(suspect, nowNanos + HOLD_TIME.toNanos(), nowNanos);
+          decided.add(new Blame(suspect, HOLD_TIME));
+        }
         return guilty;
       }
     }
     return List.of();
   }
 
+  /**
+   * Returns what this router has decided to blame since the last call.
+   *
+   * @return the blames, without those taken over from other routers
+   */
+  public List<Blame> takeDecided() {
+    List<Blame> taken = List.copyOf(decided);
+    decided.clear();
+    return taken;
+  }
+
   private List<Suspect> guilty(Suspect.Kind kind, Map<Suspect, CrashCounts> counts, long nowNanos) {
     Map<Suspect, CrashCounts> guilty = new HashMap<>(counts);
     guilty.keySet().removeIf(suspect -> suspect.kind() != kind || isBlamed(suspect, nowNanos));
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -17,9 +17,12 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.dandelionbeam.base.FailureDomain;
 import org.dandelionbeam.routing.AddressSelector;
+import org.dandelionbeam.routing.Blame;
 import org.dandelionbeam.routing.ConnectionLimit;
 import org.dandelionbeam.routing.DrainWindow;
 import org.dandelionbeam.routing.Endpoint;
@@ -293,6 +296,26 @@
         });
   }
 
+  /**
+   * Sets what keeps the decisions of this router on what is to be blamed for crashes.
+   *
+   * @param keeper gets each new blame
+   */
+  public void keepBlame(Consumer<Blame> keeper) {
+    requireNonNull(keeper, "keeper");
+    periodic.add(REPORT_INTERVAL, () -> fleet().crashBlame().takeDecided().forEach(keeper));
+  }
+
+  /**
+   * Takes over what was blamed for crashes before this router started.
+   *
+   * @param blamed time until the blame ends, by suspect
+   */
+  public void restoreBlame(Map<Suspect, Duration> blamed) {
+    FleetState fleet = fleet();
+    fleet.crashBlame().recordBlamed(blamed, fleet.nowNanos());
+  }
+
   /**
    * Leaves the fleet: tells the peers, so that callers go to other routers, and finishes open
    * requests.
