Split the relay that a router reports to from SummaryExchange; count fewer suspects

No behaviour changes; AvailabilityUnderFailuresTest, SummaryExchangeTest, CrashBlameTest and CrashingRequestTest pass.

--- a/library/src/main/java/org/dandelionbeam/routing/CrashBlame.java
+++ b/library/src/main/java/org/dandelionbeam/routing/CrashBlame.java
@@ -123,7 +123,7 @@
     if (settling || evidence.isEmpty()) {
       return List.of();
     }
-    Map<Suspect, CrashCounts> counts = evidence.counts(nowNanos);
+    Map<Suspect, CrashCounts> counts = evidence.countsOf(MIN_CRASHES, nowNanos);
     for (Suspect.Kind kind : Suspect.Kind.values()) {
       List<Suspect> guilty = guilty(kind, counts, nowNanos);
       if (!guilty.isEmpty()) {
@@ -253,9 +253,8 @@
     if (blameOf(request, nowNanos).isPresent()) {
       return true;
     }
-    Map<Suspect, CrashCounts> counts = evidence.counts(nowNanos);
+    Map<Suspect, CrashCounts> counts = evidence.countsOf(SUSPICIOUS_CRASHES, nowNanos);
     return request.suspects().stream()
-        .map(suspect -> counts.getOrDefault(suspect, CrashCounts.NONE))
-        .anyMatch(count -> count.crashes() >= SUSPICIOUS_CRASHES && !count.isServedSince());
+        .anyMatch(suspect -> counts.containsKey(suspect) && !counts.get(suspect).isServedSince());
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/CrashEvidence.java
+++ b/library/src/main/java/org/dandelionbeam/routing/CrashEvidence.java
@@ -83,11 +83,14 @@
     crashes.removeIf(crash -> crash.suspects.contains(suspect));
   }
 
-  /** Returns what this router has seen of suspects beneath crashes, here or elsewhere. */
+  /** Returns what this router has seen of the suspects with most crashes, here or elsewhere. */
   Map<Suspect, CrashCounts> localCounts(long nowNanos) {
     if (isEmpty()) {
       return Map.of();
     }
+    if (crashes.isEmpty() && servedNanos.isEmpty()) {
+      return Map.of();
+    }
     crashes.removeIf(
         crash ->
             crash.suspects.isEmpty() || age(crash.atNanos, nowNanos).compareTo(CRASH_MAX_AGE) > 0);
@@ -114,25 +117,43 @@
   /** Records the sum of the counts of all routers, with this one. */
   void recordTotal(Map<Suspect, CrashCounts> counts, long nowNanos) {
     total = Map.copyOf(counts);
-    counts.forEach(
-        (suspect, count) -> {
-          long servedAtNanos = nowNanos - count.servedAge().toNanos();
-          crashes.stream()
-              .filter(crash -> crash.atNanos <= servedAtNanos)
-              .forEach(crash -> crash.suspects.remove(suspect));
-        });
+    if (!crashes.isEmpty()) {
+      counts.forEach((suspect, count) -> clearBefore(suspect, count.servedAge(), nowNanos));
+    }
   }
 
-  /** Returns the larger of what this router and what all routers have counted. */
-  Map<Suspect, CrashCounts> counts(long nowNanos) {
-    Map<Suspect, CrashCounts> counts = new HashMap<>(total);
-    localCounts(nowNanos)
-        .forEach(
-            (suspect, own) ->
-                counts.merge(suspect, own, (a, b) -> a.crashes() > b.crashes() ? a : b));
+  /** Forgets the crashes under a suspect before it was served. */
+  private void clearBefore(Suspect suspect, Duration servedAge, long nowNanos) {
+    if (servedAge.equals(CrashCounts.NEVER)) {
+      return;
+    }
+    long servedAtNanos = nowNanos - servedAge.toNanos();
+    crashes.stream()
+        .filter(crash -> crash.atNanos <= servedAtNanos)
+        .forEach(crash -> crash.suspects.remove(suspect));
+  }
+
+  /**
+   * Returns the larger of what this router and what all routers have counted, of the suspects with
+   * a number of crashes or more.
+   */
+  Map<Suspect, CrashCounts> countsOf(int minCrashes, long nowNanos) {
+    Map<Suspect, CrashCounts> counts = new HashMap<>();
+    addCounts(total, minCrashes, counts);
+    addCounts(localCounts(nowNanos), minCrashes, counts);
     return counts;
   }
 
+  private static void addCounts(
+      Map<Suspect, CrashCounts> from, int minCrashes, Map<Suspect, CrashCounts> to) {
+    from.forEach(
+        (suspect, count) -> {
+          if (count.crashes() >= minCrashes) {
+            to.merge(suspect, count, (a, b) -> b.crashes() < a.crashes() ? a : b);
+          }
+        });
+  }
+
   private static Duration age(long atNanos, long nowNanos) {
     return Duration.ofNanos(nowNanos - atNanos);
   }
--- a/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryExchange.java
@@ -13,7 +13,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import org.dandelionbeam.base.FailureDomain;
 import org.dandelionbeam.routing.FleetCounters;
 import org.dandelionbeam.routing.FleetMembers.Member;
 import org.dandelionbeam.routing.FleetState;
@@ -38,12 +37,6 @@
   /** A report that is older than this no longer counts in the sums. */
   private static final Duration REPORT_MAX_AGE = Duration.ofMillis(700);
 
-  /** A relay answers each report; one that is silent for this time is replaced. */
-  private static final Duration RELAY_TIMEOUT = Duration.ofMillis(450);
-
-  /** Time after which a relay that was silent is tried again. */
-  private static final Duration RELAY_RETRY_DELAY = Duration.ofSeconds(4);
-
   /**
    * A router that stood still is no relay for this time: until it has read, and left behind, the
    * messages that waited in its sockets.
@@ -63,7 +56,7 @@
   private final BooleanSupplier serving;
   private final Map<RouterName, Received<RouterReport>> routerReports = new HashMap<>();
   private final Map<RouterName, Received<RelayReport>> relayReports = new HashMap<>();
-  private final Map<RouterName, Long> avoidedUntilNanos = new HashMap<>();
+  private final RelayLink relay;
   private final Map<Long, Sent> sent =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -74,14 +67,8 @@
         }
       };
 
-  private final Map<FailureDomain, List<Member>> ranked = new HashMap<>();
-  private long rankedRevision = -1;
   private long sequence;
-  private RouterName currentRelay;
   private LoopTime lastTick = new LoopTime(0, 0);
-  private LoopTime relayHeard = lastTick;
-  private boolean relayEverHeard;
-  private boolean anyRelayReadsStore;
   private long searchedNanos;
   private int searches;
   private Optional<Pause> lastPause = Optional.empty();
@@ -92,7 +79,7 @@
   private SummaryExchange(FleetState fleet, BooleanSupplier serving) {
     this.fleet = requireNonNull(fleet, "fleet");
     this.serving = requireNonNull(serving, "serving");
-    currentRelay = fleet.members().self().name();
+    relay = new RelayLink(fleet.members());
   }
 
   /**
@@ -128,13 +115,13 @@
     fleet.members().removeUnregistered(now);
     RouterReport own = ownReport(now);
     List<Outgoing> messages = new ArrayList<>();
-    Member relay = selectRelay(now);
-    boolean isRelay = relay.equals(self());
+    Member selected = relay.select(lastTick);
+    boolean isRelay = selected.equals(self());
     if (isRelay) {
       routerReports.put(self().name(), new Received<>(own, now));
     } else {
       routerReports.remove(self().name());
-      messages.add(new Outgoing(relay, own));
+      messages.add(new Outgoing(selected, own));
     }
     if (!routerReports.isEmpty() && !pausedLately) {
       relayReports(now, messages);
@@ -192,54 +179,10 @@
         counters);
   }
 
-  /** Returns the preferred relay of this router's domain that is not silent. */
-  private Member selectRelay(long now) {
-    boolean silent =
-        !currentRelay.equals(self().name()) && relayHeard.isOverdue(RELAY_TIMEOUT, lastTick);
-    if (silent) {
-      avoidedUntilNanos.put(currentRelay, now + RELAY_RETRY_DELAY.toNanos());
-    }
-    avoidedUntilNanos.values().removeIf(until -> now - until >= 0);
-    Member selected =
-        candidates(self().domain(), now).stream()
-            .filter(member -> !avoidedUntilNanos.containsKey(member.name()))
-            .findFirst()
-            .orElse(self());
-    if (!selected.name().equals(currentRelay)) {
-      currentRelay = selected.name();
-      relayHeard = lastTick;
-      relayEverHeard = false;
-    }
-    return selected;
-  }
-
-  /**
-   * Returns the members of a domain that are not known to be unavailable or, if there are none
-   * besides this router, all that are registered; the preferred relay first.
-   */
-  private List<Member> candidates(FailureDomain domain, long now) {
-    List<Member> registered = ranked(domain);
-    List<Member> candidates =
-        registered.stream()
-            .filter(member -> !fleet.members().isUnavailable(member.name().number(), now))
-            .toList();
-    boolean anyOther = candidates.stream().anyMatch(member -> !member.equals(self()));
-    return anyOther ? candidates : registered;
-  }
-
-  /** Returns the members of a domain, the preferred relay first. */
-  private List<Member> ranked(FailureDomain domain) {
-    if (rankedRevision != fleet.members().revision()) {
-      rankedRevision = fleet.members().revision();
-      ranked.clear();
-    }
-    return ranked.computeIfAbsent(domain, key -> RelaySelector.ranked(key, fleet.members().all()));
-  }
-
   private void relayReports(long now, List<Outgoing> messages) {
     RelayReport sum = relayReport(now);
-    for (Member relay : otherRelays(now)) {
-      messages.add(new Outgoing(relay, sum));
+    for (Member other : otherRelays(now)) {
+      messages.add(new Outgoing(other, sum));
     }
     FleetReport total = fleetReport(sum, now);
     Set<Integer> available = reportedAvailable(now);
@@ -287,7 +230,9 @@
         .distinct()
         .forEach(
             domain ->
-                candidates(domain, now).stream().limit(RELAYS_PER_DOMAIN).forEach(relays::add));
+                relay.candidates(domain, now).stream()
+                    .limit(RELAYS_PER_DOMAIN)
+                    .forEach(relays::add));
     relayReports.keySet().forEach(name -> fleet.members().find(name).ifPresent(relays::add));
     relays.remove(self());
     return relays;
@@ -354,7 +299,7 @@
       return;
     }
     List<Member> missing =
-        ranked(self().domain()).stream()
+        relay.ranked(self().domain()).stream()
             .filter(member -> !fleet.members().isAvailable(member.name().number(), now))
             .filter(member -> !member.equals(self()))
             .toList();
@@ -372,11 +317,7 @@
    *     the store
    */
   public boolean isInformed() {
-    return !currentRelay.equals(self().name())
-        && routerReports.isEmpty()
-        && relayEverHeard
-        && anyRelayReadsStore
-        && !relayHeard.isOverdue(RELAY_TIMEOUT, lastTick.at(fleet.nowNanos()));
+    return routerReports.isEmpty() && relay.isInformed(lastTick.at(fleet.nowNanos()));
   }
 
   /**
@@ -386,7 +327,7 @@
    */
   public boolean isFirstRelay() {
     RouterName own = self().name();
-    return currentRelay.equals(own)
+    return relay.isSelf()
         && relayReports.keySet().stream().allMatch(other -> own.compareTo(other) < 0);
   }
 
@@ -397,6 +338,10 @@
    */
   public void receive(SummaryMessage message) {
     long now = fleet.nowNanos();
+    fleet.upstreams().recordLeaving(message.leavingUpstreams(), now);
+    fleet.crashBlame().recordBlamed(message.blamed(), now);
+    fleet.rateLimits().recordReported(message.limits(), now);
+    fleet.staleStateDetector().recordPeerVersions(message.versions());
     if (message instanceof RouterReport report) {
       receiveRouterReport(report, now);
     } else if (message instanceof RelayReport report) {
@@ -407,19 +352,11 @@
   }
 
   private void receiveRouterReport(RouterReport report, long now) {
-    fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
-    fleet.crashBlame().recordBlamed(report.blamed(), now);
-    fleet.rateLimits().recordReported(report.limits(), now);
-    fleet.staleStateDetector().recordPeerVersions(report.versions());
     fleet.members().recordReport(report.sender(), report.serving(), now);
     routerReports.put(report.sender().name(), new Received<>(report, now));
   }
 
   private void receiveRelayReport(RelayReport report, long now) {
-    fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
-    fleet.crashBlame().recordBlamed(report.blamed(), now);
-    fleet.rateLimits().recordReported(report.limits(), now);
-    fleet.staleStateDetector().recordPeerVersions(report.versions());
     report.serving().forEach(number -> fleet.members().recordPresent(number, true, now));
     report.leaving().forEach(number -> fleet.members().recordPresent(number, false, now));
     relayReports.put(report.relay(), new Received<>(report, now));
@@ -427,16 +364,8 @@
   }
 
   private void receiveFleetReport(FleetReport report, long now) {
-    fleet.upstreams().recordLeaving(report.leavingUpstreams(), now);
-    fleet.crashBlame().recordBlamed(report.blamed(), now);
-    fleet.rateLimits().recordReported(report.limits(), now);
-    fleet.staleStateDetector().recordPeerVersions(report.versions());
     recordStoreFailure(report.storeFailed(), now);
-    if (report.relay().equals(currentRelay)) {
-      relayHeard = lastTick.at(now);
-      relayEverHeard = true;
-      anyRelayReadsStore = report.readsStore();
-    }
+    relay.recordAnswer(report.relay(), report.readsStore(), lastTick.at(now));
     boolean isRelayOfOthers =
         routerReports.keySet().stream().anyMatch(n -> !n.equals(self().name()));
     if (!isRelayOfOthers) {
--- a/library/src/main/java/org/dandelionbeam/summary/SummaryMessage.java
+++ b/library/src/main/java/org/dandelionbeam/summary/SummaryMessage.java
@@ -16,6 +16,34 @@
 /** Message between routers by which they learn the state of the fleet. */
 public sealed interface SummaryMessage {
 
+  /**
+   * Returns the upstreams that leave.
+   *
+   * @return numbers of the upstreams
+   */
+  Set<Integer> leavingUpstreams();
+
+  /**
+   * Returns what the sender blames for crashes.
+   *
+   * @return time until the blame ends, by suspect
+   */
+  Map<Suspect, Duration> blamed();
+
+  /**
+   * Returns the rate limits that upstreams have named.
+   *
+   * @return limits by number of the upstream
+   */
+  Map<Integer, RateLimits.Reported> limits();
+
+  /**
+   * Returns versions of the data in the store.
+   *
+   * @return the newest that the sender knows of
+   */
+  StoreVersions versions();
+
   /**
    * State of one router, sent to the relay of its failure domain.
    *
