review: an entry of another writer ends the watch of the engines

Cause: UpstreamDecoder takes a text in coldRemainingMs as a number of milliseconds; UpstreamDirectory.put overflows on it, and the exception ends the watch of servers/ in StoreWatcher for good, at all routers at once.

Done: case review/1 with a store, engines and clients of its own, beside three router processes that are started with the command of the deploy file. One entry, removed after two seconds, then the engines are replaced in turn.

--- /dev/null
+++ b/review/standins/org/dandelionbeam/review/Engine.java
@@ -0,0 +1,226 @@
+package org.dandelionbeam.review;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+
+/** A sound engine of a plain service: it registers itself, serves requests and may leave. */
+final class Engine implements AutoCloseable {
+  private static final int HEARTBEAT_MS = 1_200;
+  private static final int BACKLOG = 256;
+  private static final String SEAL = "3e1b.07.5a2.600.0.c9f2a4d1";
+
+  private final String id;
+  private final String service;
+  private final String zone;
+  private final int slots;
+  private final long workMs;
+  private final Store store;
+  private final Record record;
+  private final ServerSocket server;
+  private final Semaphore freeSlots;
+  private final long bornMs = System.currentTimeMillis();
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private volatile boolean draining;
+  private volatile boolean ended;
+  private int sequence;
+
+  /** A request that the engine has begun to run. */
+  record Arrival(String attemptId, long nanos) {}
+
+  /**
+   * Starts an engine and registers it.
+   *
+   * @param slots requests that it runs at once; more of them wait
+   * @param workMs the time that a request takes
+   */
+  Engine(
+      String id,
+      String service,
+      String zone,
+      String host,
+      int slots,
+      long workMs,
+      Store store,
+      Record record)
+      throws IOException {
+    this.id = id;
+    this.service = service;
+    this.zone = zone;
+    this.slots = slots;
+    this.workMs = workMs;
+    this.store = store;
+    this.record = record;
+    freeSlots = new Semaphore(slots, true);
+    server = new ServerSocket(0, BACKLOG, InetAddress.getByName(host));
+    threads.execute(this::accept);
+    threads.execute(this::beatUntilEnd);
+  }
+
+  String id() {
+    return id;
+  }
+
+  String zone() {
+    return zone;
+  }
+
+  /** Returns the requests that it has begun to run. */
+  List<Arrival> arrivals() {
+    return List.copyOf(arrivals);
+  }
+
+  private void beatUntilEnd() {
+    try {
+      while (!ended) {
+        beat();
+        Thread.sleep(HEARTBEAT_MS);
+      }
+    } catch (InterruptedException e) {
+      // The engine ends.
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Writes its entry; returns the time of the acknowledgement. */
+  private synchronized long beat() {
+    sequence++;
+    String entry =
+        "{\"backend\":\""
+            + service
+            + "\",\"address\":\""
+            + server.getInetAddress().getHostAddress()
+            + ":"
+            + server.getLocalPort()
+            + "\",\"zone\":\""
+            + zone
+            + "\",\"version\":\"v1\",\"slots\":"
+            + slots
+            + ",\"state\":\""
+            + (draining ? "draining" : "ready")
+            + "\",\"coldRemainingMs\":0,\"sequence\":"
+            + sequence
+            + ",\"born\":"
+            + bornMs
+            + "}";
+    return store.put("servers/" + id, entry, 0);
+  }
+
+  /** Reports that it leaves; returns the time of the store's acknowledgement. */
+  long drain() {
+    draining = true;
+    long acknowledgedNanos = beat();
+    record.line("engine %s reports draining, acknowledged", id);
+    return acknowledgedNanos;
+  }
+
+  /** Ends after a planned shutdown: its entry goes, its connections are closed. */
+  void leave() {
+    ended = true;
+    store.remove("servers/" + id);
+    record.line("engine %s has left", id);
+    close();
+  }
+
+  private void accept() {
+    while (!ended) {
+      try {
+        Socket socket = server.accept();
+        socket.setTcpNoDelay(true);
+        sockets.add(socket);
+        threads.execute(() -> serve(socket));
+      } catch (IOException e) {
+        if (!ended) {
+          record.line("engine %s can't accept: %s", id, e);
+        }
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      while (!ended) {
+        HttpClientMessage request = HttpClientMessage.read(socket, false);
+        respond(socket, request);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException e) {
+      // The router closed the connection, or the engine ends.
+    } finally {
+      sockets.remove(socket);
+    }
+  }
+
+  private void respond(Socket socket, HttpClientMessage request)
+      throws IOException, InterruptedException {
+    String attemptId = request.header("attempt-id");
+    String expected = request.header("expect-instance");
+    if (!expected.isEmpty() && !expected.equals(id)) {
+      write(socket, "421 Misdirected Request", attemptId, List.of("Not-Run: 1"), new byte[0], true);
+      return;
+    }
+    freeSlots.acquire();
+    try {
+      arrivals.add(new Arrival(attemptId, System.nanoTime()));
+      record.line("engine %s runs %s%s", id, attemptId, draining ? " (draining)" : "");
+      Thread.sleep(workMs);
+    } finally {
+      freeSlots.release();
+    }
+    byte[] body = ("result of " + attemptId).getBytes(StandardCharsets.US_ASCII);
+    boolean head = request.method().equals("HEAD");
+    write(socket, "200 OK", attemptId, List.of("Engine-Seal: " + SEAL), body, !head);
+    record.line("engine %s has answered %s", id, attemptId);
+  }
+
+  private void write(
+      Socket socket,
+      String status,
+      String attemptId,
+      List<String> added,
+      byte[] body,
+      boolean withBody)
+      throws IOException {
+    List<String> headers = new ArrayList<>(added);
+    headers.add("Attempt-Id: " + attemptId);
+    headers.add("Instance: " + id);
+    headers.add("Content-Length: " + body.length);
+    if (draining) {
+      headers.add("Server-Leaving: 1");
+      headers.add("Connection: close");
+    }
+    HttpClientMessage.write(socket, "HTTP/1.1 " + status, headers, withBody ? body : new byte[0]);
+    if (draining) {
+      throw new SocketException("closed by the engine, which leaves");
+    }
+  }
+
+  @Override
+  public void close() {
+    ended = true;
+    try {
+      server.close();
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    } catch (IOException e) {
+      record.line("engine %s can't be closed: %s", id, e);
+    }
+    threads.shutdownNow();
+  }
+}
