review: a cold engine gets its full share while the store is down

Cause: routers know only from the store that an engine has started again under its id, so that, while the store is down, UpstreamHealth lets it have its full share half a second after the crash, cold or not.

The engine of one zone crashes and comes back cold a second later, while the store answers 503; 150 bookings a second come.

--- a/review/standins/org/dandelionbeam/review/Deployment.java
+++ b/review/standins/org/dandelionbeam/review/Deployment.java
@@ -12,10 +12,7 @@
 final class Deployment implements AutoCloseable {
   static final String BOOKING_PATH = "/puxa403/2f";
   static final String LOOKUP_PATH = "/cufi504/2f";
-  static final String DRAFT_PATH = "/lohu930/2f";
   static final String SERVICE = "wuno96b";
-  static final String MODEL_SERVICE = "huvo11a";
-  private static final int DRAFT_TIMEOUT_MS = 15_000;
   private static final List<String> ZONES = List.of("zon-utara", "zon-tengah", "zon-selatan");
   private static final long START_TIMEOUT_S = 20;
   private static final long SETTLE_MS = 4_000;
@@ -74,30 +71,21 @@
 
   /** Starts one more engine. */
   Engine addEngine(String id, String zone, int slots, long workMs) throws IOException {
-    return addEngine(id, SERVICE, zone, slots, workMs);
-  }
-
-  /** Starts an engine of a service. */
-  Engine addEngine(String id, String service, String zone, int slots, long workMs)
-      throws IOException {
     String host = "127.0.2." + (engines.size() + 1);
-    Engine engine = new Engine(id, service, zone, host, slots, workMs, store, record);
+    Engine engine = new Engine(id, SERVICE, zone, host, slots, workMs, store, record);
     engines.add(engine);
     return engine;
   }
 
   private static String config(int timeoutMs) {
     return "{\"version\":7,\"routes\":["
-        + route("r-booking", "/puxa403/", "non_idempotent", 1, timeoutMs, SERVICE)
-        + ","
-        + route("r-lookup", "/cufi504/", "idempotent", 2, timeoutMs, SERVICE)
-        + ","
-        + route("r-draft", "/lohu930/", "streaming", 1, DRAFT_TIMEOUT_MS, MODEL_SERVICE)
-        + "],\"services\":["
-        + service(SERVICE, 100)
+        + route("r-booking", "/puxa403/", "non_idempotent", 1, timeoutMs)
         + ","
-        + service(MODEL_SERVICE, 490)
-        + "],"
+        + route("r-lookup", "/cufi504/", "idempotent", 2, timeoutMs)
+        + "],\"services\":[{\"name\":\""
+        + SERVICE
+        + "\",\"healthPath\":\"/health\",\"maxConnections\":490,\"protocol\":\"h1\",\"tls\":false,"
+        + "\"coldStartS\":3.0,\"coldPerS\":11.0}],"
         + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
         + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000,\"tokensPerS\":273000},"
         + "\"tenants\":[{\"name\":\"hule930\",\"apiKeys\":[\""
@@ -105,16 +93,8 @@
         + "\"],\"priority\":1}]}";
   }
 
-  private static String service(String name, int maxConnections) {
-    return "{\"name\":\""
-        + name
-        + "\",\"healthPath\":\"/health\",\"maxConnections\":"
-        + maxConnections
-        + ",\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":0.0,\"coldPerS\":0.0}";
-  }
-
   private static String route(
-      String name, String prefix, String type, int maxAttempts, int timeoutMs, String service) {
+      String name, String prefix, String type, int maxAttempts, int timeoutMs) {
     return "{\"name\":\""
         + name
         + "\",\"hostname\":\""
@@ -126,7 +106,7 @@
         + "\",\"timeoutMs\":"
         + timeoutMs
         + ",\"targetLatencyMs\":386,\"gapTargetMs\":300,\"priority\":2,\"backend\":\""
-        + service
+        + SERVICE
         + "\",\"maxAttempts\":"
         + maxAttempts
         + ",\"anonymous\":false,\"sticky\":false,\"resumable\":false}";
--- a/review/standins/org/dandelionbeam/review/Engine.java
+++ b/review/standins/org/dandelionbeam/review/Engine.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -15,11 +16,15 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A sound engine of a plain service: it registers itself, serves requests and may leave. */
 final class Engine implements AutoCloseable {
   private static final int HEARTBEAT_MS = 1_200;
   private static final int BACKLOG = 256;
+  private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+  static final long COLD_START_MS = 3_000;
   private static final String SEAL = "3e1b.07.5a2.600.0.c9f2a4d1";
 
   private final String id;
@@ -29,9 +34,14 @@
   private final long workMs;
   private final Store store;
   private final Record record;
-  private final ServerSocket server;
+  private final InetAddress host;
+  private volatile ServerSocket server;
   private final Semaphore freeSlots;
-  private final long bornMs = System.currentTimeMillis();
+  private volatile long bornMs = System.currentTimeMillis();
+  private volatile long coldUntilNanos = System.nanoTime();
+  private volatile int failingInterval;
+  private volatile double coldCapacityPerS = Double.MAX_VALUE;
+  private final AtomicInteger overloads = new AtomicInteger();
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
   private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -66,8 +76,9 @@
     this.store = store;
     this.record = record;
     freeSlots = new Semaphore(slots, true);
-    server = new ServerSocket(0, BACKLOG, InetAddress.getByName(host));
-    threads.execute(this::accept);
+    this.host = InetAddress.getByName(host);
+    server = new ServerSocket(0, BACKLOG, this.host);
+    threads.execute(() -> accept(server));
     threads.execute(this::beatUntilEnd);
   }
 
@@ -87,7 +98,9 @@
   private void beatUntilEnd() {
     try {
       while (!ended) {
-        beat();
+        if (!store.isDown()) {
+          beat();
+        }
         Thread.sleep(HEARTBEAT_MS);
       }
     } catch (InterruptedException e) {
@@ -103,7 +116,7 @@
         "{\"backend\":\""
             + service
             + "\",\"address\":\""
-            + server.getInetAddress().getHostAddress()
+            + host.getHostAddress()
             + ":"
             + server.getLocalPort()
             + "\",\"zone\":\""
@@ -112,7 +125,9 @@
             + slots
             + ",\"state\":\""
             + (draining ? "draining" : "ready")
-            + "\",\"coldRemainingMs\":0,\"sequence\":"
+            + "\",\"coldRemainingMs\":"
+            + Math.max(0, TimeUnit.NANOSECONDS.toMillis(coldUntilNanos - System.nanoTime()))
+            + ",\"sequence\":"
             + sequence
             + ",\"born\":"
             + bornMs
@@ -136,15 +151,50 @@
     close();
   }
 
-  private void accept() {
-    while (!ended) {
+  /** From now on it fails some of the requests that it has run. */
+  void failEvery(int runs) {
+    failingInterval = runs;
+  }
+
+  /** From now on it crashes if it gets more requests than this in a second while it is cold. */
+  void crashAbove(double requestsPerSecond) {
+    coldCapacityPerS = requestsPerSecond;
+  }
+
+  /** Crashes: all its connections are closed, and what it runs is gone. */
+  synchronized void crash() throws IOException {
+    record.line("engine %s crashes", id);
+    server.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  /** Starts again under its id, at its address, cold, and knowing nothing of before. */
+  synchronized void restart() throws IOException {
+    ServerSocket next = new ServerSocket();
+    next.setReuseAddress(true);
+    next.bind(new InetSocketAddress(host, server.getLocalPort()), BACKLOG);
+    bornMs = System.currentTimeMillis();
+    coldUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(COLD_START_MS);
+    sequence = 0;
+    server = next;
+    threads.execute(() -> accept(next));
+    record.line("engine %s starts again, cold for %d ms", id, COLD_START_MS);
+    if (!store.isDown()) {
+      beat();
+    }
+  }
+
+  private void accept(ServerSocket listener) {
+    while (!listener.isClosed()) {
       try {
-        Socket socket = server.accept();
+        Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
         sockets.add(socket);
         threads.execute(() -> serve(socket));
       } catch (IOException e) {
-        if (!ended) {
+        if (!listener.isClosed()) {
           record.line("engine %s can't accept: %s", id, e);
         }
       }
@@ -177,17 +227,53 @@
     freeSlots.acquire();
     try {
       arrivals.add(new Arrival(attemptId, System.nanoTime()));
+      crashIfOverloaded();
       record.line("engine %s runs %s%s", id, attemptId, draining ? " (draining)" : "");
       Thread.sleep(workMs);
     } finally {
       freeSlots.release();
     }
+    if (failingInterval > 0 && arrivals.size() % failingInterval == 0) {
+      byte[] failure = ("failed " + attemptId).getBytes(StandardCharsets.US_ASCII);
+      write(
+          socket,
+          "503 Service Unavailable",
+          attemptId,
+          List.of("Engine-Seal: " + SEAL),
+          failure,
+          true);
+      record.line("engine %s has failed %s, which it ran", id, attemptId);
+      return;
+    }
     byte[] body = ("result of " + attemptId).getBytes(StandardCharsets.US_ASCII);
     boolean head = request.method().equals("HEAD");
     write(socket, "200 OK", attemptId, List.of("Engine-Seal: " + SEAL), body, !head);
     record.line("engine %s has answered %s", id, attemptId);
   }
 
+  /** Crashes, for a second, if it is cold and gets far more than it tolerates. */
+  private void crashIfOverloaded() throws IOException, InterruptedException {
+    long now = System.nanoTime();
+    long lastSecond =
+        arrivals.stream().filter(arrival -> now - arrival.nanos() < NANOS_PER_SECOND).count();
+    synchronized (this) {
+      boolean cold = now - coldUntilNanos < 0 && !server.isClosed();
+      if (!cold || lastSecond <= coldCapacityPerS) {
+        return;
+      }
+      overloads.incrementAndGet();
+      record.line("engine %s is cold and got %d requests in a second", id, lastSecond);
+      crash();
+    }
+    TimeUnit.SECONDS.sleep(1);
+    restart();
+  }
+
+  /** Returns how often it has crashed of too many requests while cold. */
+  int overloads() {
+    return overloads.get();
+  }
+
   private void write(
       Socket socket,
       String status,
--- a/review/standins/org/dandelionbeam/review/Store.java
+++ b/review/standins/org/dandelionbeam/review/Store.java
@@ -24,6 +24,7 @@
 final class Store implements AutoCloseable {
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
   private static final int BACKLOG = 128;
   private static final Pattern NUMBER = Pattern.compile("\"ttlMs\"\\s*:\\s*(\\d+)");
   private static final Pattern WRITE =
@@ -37,6 +38,7 @@
   private final String address;
   private long revision = 1;
   private long lastLease = 100;
+  private boolean down;
 
   private record Item(String value, long revision, long created, long lease) {}
 
@@ -58,6 +60,16 @@
     return address;
   }
 
+  /** Goes down, so that it does nothing and answers 503, or comes back as it was. */
+  synchronized void down(boolean isDown) {
+    down = isDown;
+    notifyAll();
+  }
+
+  synchronized boolean isDown() {
+    return down;
+  }
+
   /** Writes an item; what it returns is the time of the acknowledgement. */
   synchronized long put(String key, String value, long lease) {
     endLeases();
@@ -150,6 +162,9 @@
 
   private synchronized Response respond(String path, Map<String, String> query, String body)
       throws InterruptedException {
+    if (down) {
+      return new Response(UNAVAILABLE, "{}");
+    }
     endLeases();
     if (path.equals("/-/kv-range")) {
       return range(query.get("prefix"));
@@ -198,6 +213,9 @@
   private Response watch(String prefix, long after, long waitMs) throws InterruptedException {
     long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
     while (true) {
+      if (down) {
+        return new Response(UNAVAILABLE, "{}");
+      }
       String found =
           history.stream()
               .filter(event -> event.revision > after && event.key.startsWith(prefix))
