review: engines of two services with one number get each other's requests

Cause: UpstreamInstance.number folds id and start into 32 bits; grants name an engine by it alone, and the router sends to the first engine that has it.

Two engines of a zone come back together, in milliseconds that give them one number.

--- a/review/standins/org/dandelionbeam/review/Deployment.java
+++ b/review/standins/org/dandelionbeam/review/Deployment.java
@@ -12,7 +12,9 @@
 final class Deployment implements AutoCloseable {
   static final String BOOKING_PATH = "/puxa403/2f";
   static final String LOOKUP_PATH = "/cufi504/2f";
+  static final String QUERY_PATH = "/lohu930/2f";
   static final String SERVICE = "wuno96b";
+  static final String QUERY_SERVICE = "huvo11a";
   private static final List<String> ZONES = List.of("zon-utara", "zon-tengah", "zon-selatan");
   private static final long START_TIMEOUT_S = 20;
   private static final long SETTLE_MS = 4_000;
@@ -71,30 +73,45 @@
 
   /** Starts one more engine. */
   Engine addEngine(String id, String zone, int slots, long workMs) throws IOException {
+    return addEngine(id, SERVICE, zone, slots, workMs);
+  }
+
+  /** Starts one more engine of a service. */
+  Engine addEngine(String id, String service, String zone, int slots, long workMs)
+      throws IOException {
     String host = "127.0.2." + (engines.size() + 1);
-    Engine engine = new Engine(id, SERVICE, zone, host, slots, workMs, store, record);
+    Engine engine = new Engine(id, service, zone, host, slots, workMs, store, record);
     engines.add(engine);
     return engine;
   }
 
   private static String config(int timeoutMs) {
     return "{\"version\":7,\"routes\":["
-        + route("r-booking", "/puxa403/", "non_idempotent", 1, timeoutMs)
+        + route("r-booking", "/puxa403/", "non_idempotent", 1, timeoutMs, SERVICE)
         + ","
-        + route("r-lookup", "/cufi504/", "idempotent", 2, timeoutMs)
-        + "],\"services\":[{\"name\":\""
-        + SERVICE
-        + "\",\"healthPath\":\"/health\",\"maxConnections\":490,\"protocol\":\"h1\",\"tls\":false,"
-        + "\"coldStartS\":3.0,\"coldPerS\":11.0}],"
-        + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
+        + route("r-lookup", "/cufi504/", "idempotent", 2, timeoutMs, SERVICE)
+        + ","
+        + route("r-query", "/lohu930/", "idempotent", 2, timeoutMs, QUERY_SERVICE)
+        + "],\"services\":["
+        + service(SERVICE)
+        + ","
+        + service(QUERY_SERVICE)
+        + "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
         + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000,\"tokensPerS\":273000},"
         + "\"tenants\":[{\"name\":\"hule930\",\"apiKeys\":[\""
         + Client.KEY
         + "\"],\"priority\":1}]}";
   }
 
+  private static String service(String name) {
+    return "{\"name\":\""
+        + name
+        + "\",\"healthPath\":\"/health\",\"maxConnections\":490,\"protocol\":\"h1\",\"tls\":false,"
+        + "\"coldStartS\":3.0,\"coldPerS\":11.0}";
+  }
+
   private static String route(
-      String name, String prefix, String type, int maxAttempts, int timeoutMs) {
+      String name, String prefix, String type, int maxAttempts, int timeoutMs, String service) {
     return "{\"name\":\""
         + name
         + "\",\"hostname\":\""
@@ -105,8 +122,8 @@
         + type
         + "\",\"timeoutMs\":"
         + timeoutMs
-        + ",\"targetLatencyMs\":386,\"gapTargetMs\":300,\"priority\":2,\"backend\":\""
-        + SERVICE
+        + ",\"targetLatencyMs\":386,\"priority\":2,\"backend\":\""
+        + service
         + "\",\"maxAttempts\":"
         + maxAttempts
         + ",\"anonymous\":false,\"sticky\":false,\"resumable\":false}";
--- a/review/standins/org/dandelionbeam/review/Engine.java
+++ b/review/standins/org/dandelionbeam/review/Engine.java
@@ -90,6 +90,10 @@
     return zone;
   }
 
+  String service() {
+    return service;
+  }
+
   /** Returns the requests that it has begun to run. */
   List<Arrival> arrivals() {
     return List.copyOf(arrivals);
@@ -171,11 +175,19 @@
   }
 
   /** Starts again under its id, at its address, cold, and knowing nothing of before. */
-  synchronized void restart() throws IOException {
+  void restart() throws IOException {
+    restartAt(System.currentTimeMillis());
+  }
+
+  /** Waits until a Unix time in milliseconds and starts again in that millisecond. */
+  synchronized void restartAt(long wallMs) throws IOException {
+    while (System.currentTimeMillis() < wallMs) {
+      Thread.onSpinWait();
+    }
     ServerSocket next = new ServerSocket();
     next.setReuseAddress(true);
     next.bind(new InetSocketAddress(host, server.getLocalPort()), BACKLOG);
-    bornMs = System.currentTimeMillis();
+    bornMs = wallMs;
     coldUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(COLD_START_MS);
     sequence = 0;
     server = next;
