--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.." || exit 2
 [ -d review/target/classes ] || { echo "review/build.sh has not run" >&2; exit 2; }
 [ -f platform/target/dandelionbeam-router.jar ] || { echo "no router: bin/build-router" >&2; exit 2; }
-timeout "$limit_s" java -Xmx256m -cp review/target/classes "org.dandelionbeam.review.$1" "$folder"
+timeout "$limit_s" java -Xmx512m -cp review/target/classes "org.dandelionbeam.review.$1" "$folder"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
--- a/review/standins/org/dandelionbeam/review/Deployment.java
+++ b/review/standins/org/dandelionbeam/review/Deployment.java
@@ -12,9 +12,10 @@
 final class Deployment implements AutoCloseable {
   static final String BOOKING_PATH = "/puxa403/2f";
   static final String LOOKUP_PATH = "/cufi504/2f";
-  static final String QUERY_PATH = "/lohu930/2f";
+  static final String DRAFT_PATH = "/lohu930/2f";
+  static final int DRAFT_TIMEOUT_MS = 15_000;
   static final String SERVICE = "wuno96b";
-  static final String QUERY_SERVICE = "huvo11a";
+  static final String MODEL_SERVICE = "huvo11a";
   private static final List<String> ZONES = List.of("zon-utara", "zon-tengah", "zon-selatan");
   private static final long START_TIMEOUT_S = 20;
   private static final long SETTLE_MS = 4_000;
@@ -91,11 +92,11 @@
         + ","
         + route("r-lookup", "/cufi504/", "idempotent", 2, timeoutMs, SERVICE)
         + ","
-        + route("r-query", "/lohu930/", "idempotent", 2, timeoutMs, QUERY_SERVICE)
+        + route("r-draft", "/lohu930/", "streaming", 1, DRAFT_TIMEOUT_MS, MODEL_SERVICE)
         + "],\"services\":["
         + service(SERVICE)
         + ","
-        + service(QUERY_SERVICE)
+        + service(MODEL_SERVICE)
         + "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
         + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000,\"tokensPerS\":273000},"
         + "\"tenants\":[{\"name\":\"hule930\",\"apiKeys\":[\""
--- a/review/standins/org/dandelionbeam/review/Engine.java
+++ b/review/standins/org/dandelionbeam/review/Engine.java
@@ -24,6 +24,7 @@
   private static final int HEARTBEAT_MS = 1_200;
   private static final int BACKLOG = 256;
   private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+  private static final int PARTS_PER_SECOND = 10;
   static final long COLD_START_MS = 3_000;
   private static final String SEAL = "3e1b.07.5a2.600.0.c9f2a4d1";
 
@@ -39,7 +40,7 @@
   private final Semaphore freeSlots;
   private volatile long bornMs = System.currentTimeMillis();
   private volatile long coldUntilNanos = System.nanoTime();
-  private volatile int failingInterval;
+  private volatile int endlessBytesPerSecond;
   private volatile double coldCapacityPerS = Double.MAX_VALUE;
   private final AtomicInteger overloads = new AtomicInteger();
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -90,10 +91,6 @@
     return zone;
   }
 
-  String service() {
-    return service;
-  }
-
   /** Returns the requests that it has begun to run. */
   List<Arrival> arrivals() {
     return List.copyOf(arrivals);
@@ -155,9 +152,9 @@
     close();
   }
 
-  /** From now on it fails some of the requests that it has run. */
-  void failEvery(int runs) {
-    failingInterval = runs;
+  /** From now on it answers with a failure whose body comes at a steady rate without end. */
+  void answerWithoutEnd(int newBytesPerSecond) {
+    endlessBytesPerSecond = newBytesPerSecond;
   }
 
   /** From now on it crashes if it gets more requests than this in a second while it is cold. */
@@ -175,19 +172,11 @@
   }
 
   /** Starts again under its id, at its address, cold, and knowing nothing of before. */
-  void restart() throws IOException {
-    restartAt(System.currentTimeMillis());
-  }
-
-  /** Waits until a Unix time in milliseconds and starts again in that millisecond. */
-  synchronized void restartAt(long wallMs) throws IOException {
-    while (System.currentTimeMillis() < wallMs) {
-      Thread.onSpinWait();
-    }
+  synchronized void restart() throws IOException {
     ServerSocket next = new ServerSocket();
     next.setReuseAddress(true);
     next.bind(new InetSocketAddress(host, server.getLocalPort()), BACKLOG);
-    bornMs = wallMs;
+    bornMs = System.currentTimeMillis();
     coldUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(COLD_START_MS);
     sequence = 0;
     server = next;
@@ -238,6 +227,10 @@
     }
     freeSlots.acquire();
     try {
+      if (endlessBytesPerSecond > 0) {
+        writeWithoutEnd(socket, attemptId);
+        return;
+      }
       arrivals.add(new Arrival(attemptId, System.nanoTime()));
       crashIfOverloaded();
       record.line("engine %s runs %s%s", id, attemptId, draining ? " (draining)" : "");
@@ -245,19 +238,8 @@
     } finally {
       freeSlots.release();
     }
-    if (failingInterval > 0 && arrivals.size() % failingInterval == 0) {
-      byte[] failure = ("failed " + attemptId).getBytes(StandardCharsets.US_ASCII);
-      write(
-          socket,
-          "503 Service Unavailable",
-          attemptId,
-          List.of("Engine-Seal: " + SEAL),
-          failure,
-          true);
-      record.line("engine %s has failed %s, which it ran", id, attemptId);
-      return;
-    }
-    byte[] body = ("result of " + attemptId).getBytes(StandardCharsets.US_ASCII);
+    String event = "id: 1\ndata: result of " + attemptId + "\n\n";
+    byte[] body = event.getBytes(StandardCharsets.US_ASCII);
     boolean head = request.method().equals("HEAD");
     write(socket, "200 OK", attemptId, List.of("Engine-Seal: " + SEAL), body, !head);
     record.line("engine %s has answered %s", id, attemptId);
@@ -286,6 +268,20 @@
     return overloads.get();
   }
 
+  /** Writes an answer until the router closes the connection or the engine ends. */
+  private void writeWithoutEnd(Socket socket, String attemptId)
+      throws IOException, InterruptedException {
+    record.line("engine %s answers %s without end", id, attemptId);
+    List<String> headers =
+        List.of("Engine-Seal: " + SEAL, "Attempt-Id: " + attemptId, "Instance: " + id);
+    HttpClientMessage.writeHead(socket, "HTTP/1.1 500 Internal Server Error", headers);
+    byte[] part = new byte[endlessBytesPerSecond / PARTS_PER_SECOND];
+    while (!ended) {
+      socket.getOutputStream().write(part);
+      Thread.sleep(TimeUnit.SECONDS.toMillis(1) / PARTS_PER_SECOND);
+    }
+  }
+
   private void write(
       Socket socket,
       String status,
--- a/review/standins/org/dandelionbeam/review/HttpClientMessage.java
+++ b/review/standins/org/dandelionbeam/review/HttpClientMessage.java
@@ -16,12 +16,14 @@
  *
  * @param startLine first line
  * @param headers values by name in lower case
- * @param body the body, or what has arrived of it
+ * @param body the body, or what has arrived of it; of a long one only the beginning
  * @param complete whether the framing says that the body is whole
  */
 record HttpClientMessage(
     String startLine, Map<String, String> headers, byte[] body, boolean complete) {
   private static final int MAX_HEAD_BYTES = 32 << 10;
+  private static final int MAX_KEPT_BODY_BYTES = 64 << 10;
+  private static final int READ_BYTES = 8 << 10;
   private static final int HEX = 16;
 
   /** Writes a head without a body. */
@@ -91,7 +93,7 @@
         int expected = Integer.parseInt(headers.get("content-length"));
         readExactly(in, expected, body);
       } else if (startLine.startsWith("HTTP/")) {
-        in.transferTo(body);
+        readToEnd(in, body);
       }
       return true;
     } catch (IOException e) {
@@ -100,12 +102,29 @@
     }
   }
 
+  /** Reads a number of bytes and keeps them as long as the body is not too long. */
   private static void readExactly(InputStream in, int length, ByteArrayOutputStream body)
       throws IOException {
-    byte[] bytes = in.readNBytes(length);
-    body.writeBytes(bytes);
-    if (bytes.length < length) {
-      throw new EOFException("connection ended within a body");
+    byte[] bytes = new byte[READ_BYTES];
+    int left = length;
+    while (left > 0) {
+      int count = in.read(bytes, 0, Math.min(left, bytes.length));
+      if (count < 0) {
+        throw new EOFException("connection ended within a body");
+      }
+      left -= count;
+      if (body.size() < MAX_KEPT_BODY_BYTES) {
+        body.write(bytes, 0, count);
+      }
+    }
+  }
+
+  private static void readToEnd(InputStream in, ByteArrayOutputStream body) throws IOException {
+    byte[] bytes = new byte[READ_BYTES];
+    for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
+      if (body.size() < MAX_KEPT_BODY_BYTES) {
+        body.write(bytes, 0, count);
+      }
     }
   }
 
