--- a/review/standins/org/dandelionbeam/review/Engine.java
+++ b/review/standins/org/dandelionbeam/review/Engine.java
@@ -23,6 +23,7 @@
 final class Engine implements AutoCloseable {
   private static final int HEARTBEAT_MS = 1_200;
   private static final int BACKLOG = 256;
+  private static final String HEALTH_PATH = "/health";
   private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
   private static final int PARTS_PER_SECOND = 10;
   static final long COLD_START_MS = 3_000;
@@ -127,7 +128,7 @@
             + ",\"state\":\""
             + (draining ? "draining" : "ready")
             + "\",\"coldRemainingMs\":"
-            + Math.max(0, TimeUnit.NANOSECONDS.toMillis(coldUntilNanos - System.nanoTime()))
+            + coldRemainingMs()
             + ",\"sequence\":"
             + sequence
             + ",\"born\":"
@@ -225,6 +226,10 @@
       write(socket, "421 Misdirected Request", attemptId, List.of("Not-Run: 1"), new byte[0], true);
       return;
     }
+    if (request.target().equals(HEALTH_PATH)) {
+      writeHealth(socket);
+      return;
+    }
     freeSlots.acquire();
     try {
       if (endlessBytesPerSecond > 0) {
@@ -268,6 +273,20 @@
     return overloads.get();
   }
 
+  /** Answers a health check, which says how much longer the engine is cold. */
+  private void writeHealth(Socket socket) throws IOException {
+    List<String> headers = new ArrayList<>(List.of("Instance: " + id, "Content-Length: 0"));
+    if (coldRemainingMs() > 0) {
+      headers.add("Cold-Ms: " + coldRemainingMs());
+    }
+    String status = draining ? "503 Service Unavailable" : "200 OK";
+    HttpClientMessage.writeHead(socket, "HTTP/1.1 " + status, headers);
+  }
+
+  private long coldRemainingMs() {
+    return Math.max(0, TimeUnit.NANOSECONDS.toMillis(coldUntilNanos - System.nanoTime()));
+  }
+
   /** Writes an answer until the router closes the connection or the engine ends. */
   private void writeWithoutEnd(Socket socket, String attemptId)
       throws IOException, InterruptedException {
