--- a/library/src/main/java/org/dandelionbeam/routing/wiring/EventLog.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/EventLog.java
@@ -71,8 +71,12 @@
     requestLine("bad_input").with("from", from).with("status", status).with("code", code).write();
   }
 
-  /** Logs an exception that no caller handles, with the place where it was thrown. */
-  void internalError(RuntimeException cause) {
+  /**
+   * Logs an exception that no caller handles, with the place where it was thrown.
+   *
+   * @param cause the exception
+   */
+  public void internalError(RuntimeException cause) {
     StackTraceElement[] trace = cause.getStackTrace();
     line("internal_error")
         .with("cause", cause)
@@ -80,6 +84,23 @@
         .write();
   }
 
+  /**
+   * Wraps a task of an event loop, which would drop an exception silently.
+   *
+   * @param task the task
+   * @return a task that logs the exception instead
+   */
+  public Runnable guarded(Runnable task) {
+    requireNonNull(task, "task");
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        internalError(e);
+      }
+    };
+  }
+
   private boolean tryAdmit(LineQuota quota) {
     boolean admitted = quota.tryTake(clock.nanos());
     long leftOut = quota.takeLeftOut();
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestScheduling.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestScheduling.java
@@ -196,21 +196,10 @@
   private void scheduleFlush() {
     if (!flushPending) {
       flushPending = true;
-      loop.execute(guarded(this::flush));
+      loop.execute(log.guarded(this::flush));
     }
   }
 
-  /** Wraps a task of the event loop, which would drop an exception silently. */
-  private Runnable guarded(Runnable task) {
-    return () -> {
-      try {
-        task.run();
-      } catch (RuntimeException e) {
-        log.internalError(e);
-      }
-    };
-  }
-
   private void flush() {
     flushPending = false;
     requests.forEach(
@@ -245,9 +234,9 @@
       pollPending = true;
       long wait = pollThrottle.waitNanos(System.nanoTime());
       if (wait == 0) {
-        loop.execute(guarded(this::poll));
+        loop.execute(log.guarded(this::poll));
       } else {
-        loop.schedule(guarded(this::poll), wait, TimeUnit.NANOSECONDS);
+        loop.schedule(log.guarded(this::poll), wait, TimeUnit.NANOSECONDS);
       }
     }
   }
@@ -266,7 +255,7 @@
   private void scheduleTick() {
     if (!tickPending && (client.hasSubmissions() || service.waitingCount() > 0)) {
       tickPending = true;
-      loop.schedule(guarded(this::tick), TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+      loop.schedule(log.guarded(this::tick), TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     }
   }
 
