A stopping router accepts late only what ends before it does

Cause: DrainWindow accepted what usually ends within the grace period, and a plain request counted as ending in 1.2 s whatever its timeout is. At its end the router cut what was open, waiting requests included.

No request is sent to an upstream, for the first time or again, if neither its timeout nor its usual duration ends in time; one that waits is refused as soon as that is so. At the end each open request is answered: 503 if it has not run, 502 with the new code INTERRUPTED if it may have, 503 if it has arrived in part. Only a response that has begun is cut. GracefulShutdown takes this out of FleetRouter.

--- a/library/src/main/java/org/dandelionbeam/base/ErrorCode.java
+++ b/library/src/main/java/org/dandelionbeam/base/ErrorCode.java
@@ -63,7 +63,9 @@
   /** Upstreams crash under requests with a part of this prompt. */
   PROMPT_REFUSED(503, "Don't send this prompt before the time that Retry-After gives."),
   /** Upstreams crashed under this same request. */
-  REQUEST_REFUSED(503, "Don't send this request before the time that Retry-After gives.");
+  REQUEST_REFUSED(503, "Don't send this request before the time that Retry-After gives."),
+  /** The router shut down before the upstream responded. */
+  INTERRUPTED(502, "Check the verdict before sending the request again.");
 
   private final int httpStatus;
   private final String remedy;
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
@@ -266,6 +266,23 @@
     }
   }
 
+  /** Refuses the current request if it waits and the router stops before it could be served. */
+  void refuseIfTooLate() {
+    if (currentRequest != null) {
+      currentRequest.refuseIfTooLate();
+    }
+  }
+
+  /** Ends the current request with a response, also one that has arrived in part. */
+  void interrupt() {
+    keepAlive = false;
+    if (currentRequest != null) {
+      currentRequest.interrupt();
+    } else if (!isIdle() && !closing) {
+      refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, ErrorCode.STOPPING);
+    }
+  }
+
   /** Tells whether the connection carries no request. */
   boolean isIdle() {
     return currentRequest == null && head == null && !receivingHead;
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -24,7 +24,6 @@
 import org.dandelionbeam.routing.AddressSelector;
 import org.dandelionbeam.routing.Blame;
 import org.dandelionbeam.routing.ConnectionLimit;
-import org.dandelionbeam.routing.DrainWindow;
 import org.dandelionbeam.routing.Endpoint;
 import org.dandelionbeam.routing.FleetMembers;
 import org.dandelionbeam.routing.FleetState;
@@ -45,24 +44,10 @@
   /** Short compared to the time in which the usage of teams changes. */
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(100);
 
-  private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(12);
-
   private static final Duration STALE_CHECK_INTERVAL = Duration.ofMillis(100);
   private static final Duration QUEUE_LOG_INTERVAL = Duration.ofSeconds(1);
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(500);
 
-  /**
-   * Callers may use a cached address for up to three cache lifetimes of two seconds after its
-   * removal.
-   */
-  private static final Duration LISTEN_WHILE_DRAINING = Duration.ofMillis(5_500);
-
-  /**
-   * Idle connections are closed earlier than the listener, so that their callers look for another
-   * router.
-   */
-  private static final Duration KEEP_IDLE_WHILE_DRAINING = Duration.ofMillis(2_200);
-
   private static final int MAX_READS_PER_LOOP = 16;
   private static final int WRITE_LOW_BYTES = 32 << 10;
   private static final int WRITE_HIGH_BYTES = 128 << 10;
@@ -321,43 +306,12 @@
    * requests.
    *
    * @param limit time after which the remaining requests are given up
-   * @param done runs when no connection is left, or at the limit
+   * @param done runs when no connection is left, or soon after the limit
    */
   public void drain(Duration limit, Runnable done) {
-    long now = System.nanoTime();
-    long deadline = now + limit.toNanos();
-    Duration listenTime =
-        limit.compareTo(LISTEN_WHILE_DRAINING) < 0 ? limit : LISTEN_WHILE_DRAINING;
-    context.startDraining(DrainWindow.of(now, limit));
+    requireNonNull(done, "done");
+    GracefulShutdown.of(context, listener, periodic).start(limit, done);
     report();
-    context.log().line("leaving").with("open_connections", context.connections().size()).write();
-    scheduleOnce(KEEP_IDLE_WHILE_DRAINING, this::closeIdleConnections);
-    scheduleOnce(listenTime, () -> listener.close());
-    awaitDrained(deadline, now + listenTime.toNanos(), done);
-  }
-
-  private void scheduleOnce(Duration delay, Runnable task) {
-    context.loop().schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
-  }
-
-  private void closeIdleConnections() {
-    List.copyOf(context.connections()).forEach(CallerConnection::closeIfIdle);
-  }
-
-  private void awaitDrained(long deadlineNanos, long notBeforeNanos, Runnable done) {
-    long now = System.nanoTime();
-    boolean idle = context.connections().isEmpty() && now - notBeforeNanos > 0;
-    if (idle || now - deadlineNanos > 0) {
-      context.log().line("left").with("open_connections", context.connections().size()).write();
-      done.run();
-      return;
-    }
-    context
-        .loop()
-        .schedule(
-            () -> awaitDrained(deadlineNanos, notBeforeNanos, done),
-            DRAIN_CHECK_INTERVAL.toMillis(),
-            TimeUnit.MILLISECONDS);
   }
 
   /** Sets up the channel handlers of a caller's connection. */
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -97,7 +97,8 @@
     } else if (admission instanceof Admission.Admitted admitted) {
       route = admitted.route();
       team = admitted.team();
-      if (router.accepts(metadata.prompt().expectedDuration())) {
+      long deadlineNanos = arrivedNanos + RequestTickets.timeout(route, metadata).toNanos();
+      if (router.accepts(metadata.prompt().expectedDuration(), deadlineNanos)) {
         submit(table, now);
       } else {
         trace.step("stopping", "config=" + table.version(), now);
@@ -142,6 +143,12 @@
   }
 
   private void send(Decision.Granted granted) {
+    if (!mayStart()) {
+      trace.step("stopping", "granted=true", router.now());
+      router.scheduling().recordEnd(ticket, Outcome.ABANDONED);
+      endUnserved(ErrorCode.STOPPING, RETRY_AFTER_DRAINING);
+      return;
+    }
     long now = router.advanceTime();
     trace.granted(granted, now);
     if (attempts.isEmpty()) {
@@ -321,9 +328,7 @@
       finish(HttpResponseStatus.BAD_GATEWAY.code());
       connection.abort();
     } else if (upstreamError != null) {
-      FullHttpResponse response = upstreamError;
-      upstreamError = null;
-      deliver(response);
+      deliverUpstreamError();
     } else if (attempts.verdict() == Verdict.NOT_RUN) {
       sendRouterResponse(Replies.unavailable(code, retryAfter));
     } else {
@@ -332,23 +337,64 @@
   }
 
   private void timedOut() {
-    if (ended) {
-      return;
+    if (!ended) {
+      trace.step("timeout", "sent=" + isSent(), router.now());
+      giveUp(ErrorCode.UPSTREAM_TIMEOUT, ErrorCode.NO_UPSTREAM, RETRY_AFTER_NOT_READY);
     }
-    boolean sent = attempt != null && attempt.isOpen();
-    trace.step("timeout", "sent=" + sent, router.now());
+  }
+
+  /** Refuses the request if it waits and the router stops before it could be served. */
+  void refuseIfTooLate() {
+    if (!ended && ticket != null && !isSent() && !mayStart()) {
+      trace.step("stopping", "granted=false", router.now());
+      giveUp(ErrorCode.INTERRUPTED, ErrorCode.STOPPING, RETRY_AFTER_DRAINING);
+    }
+  }
+
+  /** Ends the request, as the router stops now. */
+  void interrupt() {
+    if (!ended) {
+      trace.step("interrupted", "sent=" + isSent(), router.now());
+      giveUp(ErrorCode.INTERRUPTED, ErrorCode.STOPPING, RETRY_AFTER_DRAINING);
+    }
+  }
+
+  private boolean isSent() {
+    return attempt != null && attempt.isOpen();
+  }
+
+  private boolean mayStart() {
+    return router.mayStart(metadata.prompt().expectedDuration(), ticket.deadlineNanos());
+  }
+
+  /**
+   * Gives the request up, wherever it is.
+   *
+   * @param code error for a request that may have run
+   * @param refusal error for a request that has not run
+   * @param retryAfter time after which a request that has not run may return
+   */
+  private void giveUp(ErrorCode code, ErrorCode refusal, Duration retryAfter) {
+    boolean notRun = !isSent() && attempts.verdict() == Verdict.NOT_RUN;
     abandon();
+    HttpResponseStatus status = HttpResponseStatus.valueOf(code.httpStatus());
     if (relay.isForwarding()) {
-      finish(HttpResponseStatus.GATEWAY_TIMEOUT.code());
+      finish(status.code());
       connection.abort();
-    } else if (upstreamError != null || (!sent && attempts.verdict() == Verdict.NOT_RUN)) {
-      endUnserved(RETRY_AFTER_NOT_READY);
+    } else if (upstreamError != null) {
+      deliverUpstreamError();
     } else {
       sendRouterResponse(
-          Replies.error(HttpResponseStatus.GATEWAY_TIMEOUT, ErrorCode.UPSTREAM_TIMEOUT));
+          notRun ? Replies.unavailable(refusal, retryAfter) : Replies.error(status, code));
     }
   }
 
+  private void deliverUpstreamError() {
+    FullHttpResponse response = upstreamError;
+    upstreamError = null;
+    deliver(response);
+  }
+
   /** Abandons the request, as its caller has closed the connection. */
   void callerDisconnected() {
     if (ended) {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTickets.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTickets.java
@@ -15,10 +15,13 @@
 
   private RequestTickets() {}
 
-  /**
-   * Creates a ticket, whose deadline is the timeout of the route or of the caller, whichever is
-   * shorter.
-   */
+  /** Returns the timeout of the route or of the caller, whichever is shorter. */
+  static Duration timeout(RouteRule route, HttpDialect.RequestMetadata metadata) {
+    Duration ofCaller = metadata.timeout().orElse(DEFAULT_TIMEOUT);
+    return ofCaller.compareTo(route.timeout()) < 0 ? ofCaller : route.timeout();
+  }
+
+  /** Creates a ticket, whose deadline is the end of the {@link #timeout}. */
   static Ticket create(
       RouterContext router,
       RouteRule route,
@@ -26,8 +29,7 @@
       HttpDialect.RequestMetadata metadata,
       RequestDigest digest,
       long arrivedNanos) {
-    long timeoutNanos =
-        Math.min(route.timeout().toNanos(), metadata.timeout().orElse(DEFAULT_TIMEOUT).toNanos());
+    long timeoutNanos = timeout(route, metadata).toNanos();
     long objectiveNanos = Math.min(route.latencyObjective().toNanos(), timeoutNanos);
     boolean streams = route.kind() == RouteKind.STREAMING;
     return Ticket.builder(router.nextTicketNumber())
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -175,10 +175,13 @@
     drainWindow = Optional.of(window);
   }
 
-  /**
-   * Tells whether a request of this duration may be accepted, which a draining router may refuse.
-   */
-  boolean accepts(Duration expected) {
-    return drainWindow.map(window -> window.accepts(expected, now())).orElse(true);
+  /** Tells whether a request may be accepted, which a draining router may refuse. */
+  boolean accepts(Duration expected, long deadlineNanos) {
+    return drainWindow.map(window -> window.accepts(expected, deadlineNanos, now())).orElse(true);
+  }
+
+  /** Tells whether an accepted request may still be sent to an upstream. */
+  boolean mayStart(Duration expected, long deadlineNanos) {
+    return drainWindow.map(window -> window.mayStart(expected, deadlineNanos, now())).orElse(true);
   }
 }
