--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
@@ -162,9 +162,19 @@
       head = null;
       body = null;
       keepAlive = HttpUtil.isKeepAlive(request);
-      currentRequest = new RequestTask(router, this, request, completeBody);
+      RequestTask task = new RequestTask(router, this, request, completeBody);
+      currentRequest = task;
       // Runs after this read loop, which notices if the caller has already closed the connection.
-      router.loop().execute(currentRequest::start);
+      router.loop().execute(() -> start(task));
+    }
+  }
+
+  private void start(RequestTask request) {
+    try {
+      request.start();
+    } catch (RuntimeException e) {
+      router.log().internalError(e);
+      request.failInternally();
     }
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -359,6 +359,16 @@
     }
   }
 
+  /** Ends the request with an error, as an unexpected exception was thrown. */
+  void failInternally() {
+    if (!ended) {
+      trace.step("internal_error", "sent=" + isSent(), router.now());
+      abandon();
+      HttpResponseStatus status = HttpResponseStatus.INTERNAL_SERVER_ERROR;
+      sendRouterResponse(Replies.error(status, ErrorCode.INTERNAL));
+    }
+  }
+
   private boolean isSent() {
     return attempt != null && attempt.isOpen();
   }
