Keep the gauges of the metrics page alive

What operators saw: most gauges of a router read NaN after the first garbage collection.

Cause: the registry refers weakly to what reads a gauge, and nothing else referred to it.

Evidence: held_bytes read NaN while the heap's gauge, whose reader is a constant, went on.

Why this works: the registry refers strongly to the reader.

RouterMetricsTest.gaugeOutlastsAGarbageCollection failed before.

--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterMetrics.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterMetrics.java
@@ -1,6 +1,7 @@
 package org.dandelionbeam.routing.wiring;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -71,7 +72,8 @@
    * @param value reads the current value
    */
   public void gauge(String name, Supplier<Number> value) {
-    registry.gauge("dandelionbeam_" + name, value, supplier -> supplier.get().doubleValue());
+    // The registry would let go of what reads the value.
+    Gauge.builder("dandelionbeam_" + name, value).strongReference(true).register(registry);
   }
 
   /**
