One memory budget for requests and buffered responses

Cause: each response was buffered up to 1 MB, and nothing bounded their sum beside a heap of 80 MB. Beside it, a megabyte of interim responses was read for each request, which took the whole processor: the event loop was 30 s late.

Evidence: EndlessAnswersTest, heap and event_loop_late.

Why this works: bodies of requests and buffered responses draw on one budget of 24 MB. Responses may fill half of it; one that finds no room is forwarded as it arrives and holds nothing more. 64 KB at most wait for a slow caller (128 KB). More than 16 responses that are skipped end an exchange. held_bytes and heap_used_bytes are on the metrics page.

--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
@@ -149,7 +149,7 @@
       return;
     }
     int bytes = content.content().readableBytes();
-    if (!router.tryReserveBody(bytes)) {
+    if (!router.memory().tryReserveRequest(bytes)) {
       refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, ErrorCode.QUEUE_FULL);
       return;
     }
@@ -234,7 +234,7 @@
   }
 
   private void releaseReservedBody() {
-    router.releaseBody(reservedBytes);
+    router.memory().release(reservedBytes);
     reservedBytes = 0;
   }
 
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/FleetRouter.java
@@ -49,8 +49,10 @@
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(500);
 
   private static final int MAX_READS_PER_LOOP = 16;
-  private static final int WRITE_LOW_BYTES = 32 << 10;
-  private static final int WRITE_HIGH_BYTES = 128 << 10;
+  private static final int WRITE_LOW_BYTES = 16 << 10;
+
+  /** Hundreds of callers may read slowly at once. */
+  private static final int WRITE_HIGH_BYTES = 64 << 10;
 
   private final RouterContext context;
   private final PeerLink peerLink;
@@ -77,12 +79,18 @@
     loopDelay = new LoopDelayMonitor(REPORT_INTERVAL, context.now());
     metrics.gauge("waiting_requests", () -> scheduling.service().waitingCount());
     metrics.gauge("upstream_connections_opened", pool::openedCount);
+    metrics.gauge("held_bytes", () -> context.memory().heldBytes());
+    metrics.gauge("heap_used_bytes", FleetRouter::usedHeapBytes);
     metrics.gauge("accepted_connections", context::acceptedConnections);
     metrics.gauge("limited_upstreams", () -> fleet.rateLimits().count(fleet.nowNanos()));
     metrics.gauge("blamed_prompt_parts", () -> stateLog.blamedCount(Suspect.Kind.PROMPT_PART));
     metrics.gauge("blamed_requests", () -> stateLog.blamedCount(Suspect.Kind.REQUEST));
   }
 
+  private static long usedHeapBytes() {
+    return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+  }
+
   private void receive(InetSocketAddress from, PeerMessage message) {
     if (message instanceof PeerMessage.Summary summary) {
       context.advanceTime();
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RequestTask.java
@@ -64,7 +64,7 @@
     this.connection = requireNonNull(connection, "connection");
     this.head = requireNonNull(head, "head");
     this.body = requireNonNull(body, "body");
-    relay = new ResponseRelay(connection, router.dialect());
+    relay = new ResponseRelay(connection, router.dialect(), router.memory());
   }
 
   /** Starts the request, unless its caller has left before it was read. */
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/ResponseRelay.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/ResponseRelay.java
@@ -14,13 +14,14 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Objects;
 import java.util.Optional;
+import org.dandelionbeam.routing.MemoryBudget;
 
 /**
  * Relays the response of an upstream to the caller.
  *
  * <p>Streams and large responses are forwarded while they arrive. Other responses are buffered
- * until they are complete, so that an incomplete one can still be replaced by that of another
- * upstream.
+ * until they are complete, as far as there is memory, so that an incomplete one can still be
+ * replaced by that of another upstream.
  */
 final class ResponseRelay {
   /** Larger responses are forwarded while they arrive. */
@@ -28,17 +29,20 @@
 
   private final CallerConnection connection;
   private final HttpDialect dialect;
+  private final MemoryBudget memory;
   private HttpResponse head;
   private ByteBuf buffered;
+  private int reservedBytes;
   private boolean streams;
   private boolean forwarding;
   private int partCount;
   private final SseEventScanner scanner = new SseEventScanner();
   private Optional<SseEventSplitter> splitter = Optional.empty();
 
-  ResponseRelay(CallerConnection connection, HttpDialect dialect) {
+  ResponseRelay(CallerConnection connection, HttpDialect dialect, MemoryBudget memory) {
     this.connection = requireNonNull(connection, "connection");
     this.dialect = requireNonNull(dialect, "dialect");
+    this.memory = requireNonNull(memory, "memory");
   }
 
   /** Forwards complete events only, so that the stream can be resumed at another upstream. */
@@ -110,18 +114,27 @@
   /** Adds a part of the body; parts of a stream are forwarded at once. */
   void add(ByteBuf part) {
     partCount++;
-    boolean tooLong = bufferedBytes() + part.readableBytes() > MAX_BUFFERED_BYTES;
-    if (!forwarding && (streams || tooLong)) {
+    if (!forwarding && !tryBuffer(part)) {
       startForwarding();
     }
     if (forwarding) {
       forward(part);
-    } else {
-      buffered = buffered == null ? part.alloc().heapBuffer(part.readableBytes()) : buffered;
-      buffered.writeBytes(part);
     }
   }
 
+  /** Buffers a part; returns false if it has to be forwarded. */
+  private boolean tryBuffer(ByteBuf part) {
+    int bytes = part.readableBytes();
+    boolean tooLong = bufferedBytes() + bytes > MAX_BUFFERED_BYTES;
+    if (streams || tooLong || !memory.tryReserveResponse(bytes)) {
+      return false;
+    }
+    reservedBytes += bytes;
+    buffered = buffered == null ? part.alloc().heapBuffer(bytes) : buffered;
+    buffered.writeBytes(part);
+    return true;
+  }
+
   private void forward(ByteBuf part) {
     if (splitter.isEmpty()) {
       scan(part);
@@ -173,6 +186,7 @@
   FullHttpResponse toFullResponse(BodyFraming framing) {
     ByteBuf content = buffered == null ? Unpooled.EMPTY_BUFFER : buffered;
     buffered = null;
+    releaseReserved();
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), content);
     response.headers().set(dialect.callerHeaders(head));
@@ -186,12 +200,18 @@
     return response;
   }
 
+  private void releaseReserved() {
+    memory.release(reservedBytes);
+    reservedBytes = 0;
+  }
+
   /** Releases the buffered part of a response that is not delivered. */
   void discard() {
     if (buffered != null) {
       buffered.release();
       buffered = null;
     }
+    releaseReserved();
     splitter.ifPresent(SseEventSplitter::startNextUpstream);
   }
 }
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/RouterContext.java
@@ -12,6 +12,7 @@
 import org.dandelionbeam.routing.ConnectionLimit;
 import org.dandelionbeam.routing.DrainWindow;
 import org.dandelionbeam.routing.FleetState;
+import org.dandelionbeam.routing.MemoryBudget;
 import org.dandelionbeam.routing.RoutingTable;
 import org.dandelionbeam.routing.ServiceName;
 
@@ -20,10 +21,8 @@
   /** One of this many successful requests is logged. */
   private static final int REQUESTS_PER_LOG_SAMPLE = 100;
 
-  /**
-   * Limit on the request bodies held in memory; a third of the heap that the deployment file sets.
-   */
-  private static final long MAX_RESERVED_BODY_BYTES = 24L << 20;
+  /** A third of the heap that the deployment file sets. */
+  private static final long MAX_HELD_BYTES = 24L << 20;
 
   /** Keeps the ticket numbers of a router apart from those before its restart. */
   private static final int TICKET_NUMBER_BITS = 20;
@@ -40,7 +39,7 @@
   private final SplittableRandom random = new SplittableRandom();
   private final Set<CallerConnection> connections = new HashSet<>();
   private long acceptedConnections;
-  private long reservedBodyBytes;
+  private final MemoryBudget memory = MemoryBudget.of(MAX_HELD_BYTES);
   private long lastTicketNumber;
   private Optional<DrainWindow> drainWindow = Optional.empty();
 
@@ -125,17 +124,8 @@
     return fleet.table().map(RoutingTable::limits).orElse(CallerLimits.DEFAULT);
   }
 
-  /** Reserves memory for a part of a body; returns false if the limit would be exceeded. */
-  boolean tryReserveBody(int bytes) {
-    if (reservedBodyBytes + bytes > MAX_RESERVED_BODY_BYTES) {
-      return false;
-    }
-    reservedBodyBytes += bytes;
-    return true;
-  }
-
-  void releaseBody(int bytes) {
-    reservedBodyBytes -= bytes;
+  MemoryBudget memory() {
+    return memory;
   }
 
   long now() {
--- a/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamExchange.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/UpstreamExchange.java
@@ -18,6 +18,9 @@
 final class UpstreamExchange {
   private static final int FIRST_FINAL_STATUS = 200;
 
+  /** More than any upstream has a reason for; some might come without end. */
+  private static final int MAX_SKIPPED_RESPONSES = 16;
+
   /** Receives the response and the outcome of an exchange. */
   interface Listener {
     /** Called when the status line and headers of the response have arrived. */
@@ -48,6 +51,7 @@
   private boolean ended;
   private boolean headSeen;
   private boolean skippingResponse;
+  private int skippedResponses;
   private BodyFraming framing = BodyFraming.CLOSE;
   private boolean keepAlive;
 
@@ -124,6 +128,10 @@
     boolean forOtherRequest = respondedId.filter(id -> !id.equals(requestId)).isPresent();
     skippingResponse = forOtherRequest || head.status().code() < FIRST_FINAL_STATUS;
     if (skippingResponse) {
+      skippedResponses++;
+      if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+        fail("too many responses that are interim ones or to other requests");
+      }
       return;
     }
     if (respondedId.isEmpty() && mayBeOfEarlierRequest()) {
