Send no body with a router's own response to HEAD

What callers saw: after a refusal of a HEAD request on a kept connection, its body stood where the next response was due.

Cause: the encoder of responses doesn't know the method of the request.

Why this works: the connection remembers the method and takes the body off in the one place where it sends whole responses; Content-Length stays.

--- a/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
+++ b/library/src/main/java/org/dandelionbeam/routing/wiring/CallerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -41,6 +42,7 @@
   private HttpRequest head;
   private ByteBuf body;
   private RequestTask currentRequest;
+  private boolean isHeadRequest;
   private boolean keepAlive = true;
   private boolean closing;
   private long lastActiveNanos = System.nanoTime();
@@ -116,6 +118,7 @@
   private void receivedHead(HttpRequest request) {
     receivingHead = false;
     lastReceivedNanos = System.nanoTime();
+    isHeadRequest = request.method().equals(HttpMethod.HEAD);
     if (!hasUnambiguousFraming(request)) {
       refuse(HttpResponseStatus.BAD_REQUEST, ErrorCode.MALFORMED_REQUEST);
       return;
@@ -197,16 +200,26 @@
     FullHttpResponse response = Replies.error(status, code);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     closing = true;
-    ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    ctx.writeAndFlush(framed(response)).addListener(ChannelFutureListener.CLOSE);
   }
 
   /** Sends a complete response. */
   void sendResponse(FullHttpResponse response) {
     setConnectionHeader(response);
-    ctx.writeAndFlush(response);
+    ctx.writeAndFlush(framed(response));
     finishRequest();
   }
 
+  /** Takes the body off a response to HEAD, which states only the length that it would have. */
+  private FullHttpResponse framed(FullHttpResponse response) {
+    if (!isHeadRequest || !response.content().isReadable()) {
+      return response;
+    }
+    FullHttpResponse withoutBody = response.replace(Unpooled.EMPTY_BUFFER);
+    response.release();
+    return withoutBody;
+  }
+
   /** Sends the status line and headers of a response whose body follows in parts. */
   void sendHead(HttpResponse response) {
     setConnectionHeader(response);
