A request that is served often is not blamed for upstreams lost together

Cause: a whole request counted as served only if it had crashed an upstream before, so one served 59 times a second counted as never served, and three crashes suffice for that.

Evidence: three crashes within 3 ms blame a request that was served 600 times in the ten seconds before.

Why this works: the last 4,096 served requests are kept, and one of them needs six crashes spread over two seconds. A request that crashes each upstream is never served, so it is blamed as before.

--- a/library/src/main/java/org/dandelionbeam/routing/CrashEvidence.java
+++ b/library/src/main/java/org/dandelionbeam/routing/CrashEvidence.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -22,21 +23,31 @@
 
   private static final int MAX_CRASHES = 64;
   private static final int MAX_SERVED = 8_192;
+
+  /** A request that comes again within as many others is known to be served. */
+  private static final int MAX_SERVED_REQUESTS = 4_096;
+
   private static final float LOAD_FACTOR = 0.75f;
 
   private final Deque<Crash> crashes = new ArrayDeque<>();
-  private final Map<Suspect, Long> servedNanos =
-      new LinkedHashMap<>(MAX_CRASHES, LOAD_FACTOR, true) {
-        private static final long serialVersionUID = 1L;
+  private final Map<Suspect, Long> servedNanos = mostRecent(MAX_SERVED);
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Suspect, Long> eldest) {
-          return size() > MAX_SERVED;
-        }
-      };
+  /** Apart from the others, since most requests come once and would displace them. */
+  private final Map<Suspect, Long> servedRequestNanos = mostRecent(MAX_SERVED_REQUESTS);
 
   private Map<Suspect, CrashCounts> total = Map.of();
 
+  private static Map<Suspect, Long> mostRecent(int maxSize) {
+    return new LinkedHashMap<>(MAX_CRASHES, LOAD_FACTOR, true) {
+      private static final long serialVersionUID = 1L;
+
+      @Override
+      protected boolean removeEldestEntry(Map.Entry<Suspect, Long> eldest) {
+        return size() > maxSize;
+      }
+    };
+  }
+
   /** The suspects of the requests that ran on a crashed upstream. */
   private record Crash(Set<Suspect> suspects, long atNanos) {}
 
@@ -68,16 +79,24 @@
     }
   }
 
-  /** Records a request that was served. Of whole requests only those that crashed are kept. */
+  /** Records a request that was served. */
   void recordServed(RequestContent request, long nowNanos) {
     for (Suspect suspect : request.suspects()) {
       if (suspect.kind() != Suspect.Kind.REQUEST || hasCrashed(suspect)) {
         servedNanos.put(suspect, nowNanos);
         crashes.forEach(crash -> crash.suspects.remove(suspect));
+      } else {
+        servedRequestNanos.put(suspect, nowNanos);
       }
     }
   }
 
+  /** Returns when a request with the suspect was served last, as far as that is known. */
+  private Optional<Long> servedNanos(Suspect suspect) {
+    Long at = servedNanos.get(suspect);
+    return Optional.ofNullable(at == null ? servedRequestNanos.get(suspect) : at);
+  }
+
   /** Forgets the crashes that a suspect explains. */
   void forgetCrashesUnder(Suspect suspect) {
     crashes.removeIf(crash -> crash.suspects.contains(suspect));
@@ -107,8 +126,7 @@
   }
 
   private CrashCounts withServed(Suspect suspect, CrashCounts count, long nowNanos) {
-    Long at = servedNanos.get(suspect);
-    Duration age = at == null ? CrashCounts.NEVER : age(at, nowNanos);
+    Duration age = servedNanos(suspect).map(at -> age(at, nowNanos)).orElse(CrashCounts.NEVER);
     return age.compareTo(SERVED_MAX_AGE) > 0
         ? count
         : count.plus(new CrashCounts(0, Duration.ZERO, CrashCounts.NEVER, age));
--- a/library/src/test/java/org/dandelionbeam/routing/CrashBlameTest.java
+++ b/library/src/test/java/org/dandelionbeam/routing/CrashBlameTest.java
@@ -226,6 +226,39 @@
     assertEquals(blame.blameNext(3_000 * MS), List.of(request(7)));
   }
 
+  @DataProvider
+  public Object[][] lossesAtOnce() {
+    return new Object[][] {{3}, {6}, {12}, {60}};
+  }
+
+  // Guards against a popular request that is refused since it ran on upstreams lost together.
+  @Test(dataProvider = "lossesAtOnce")
+  public void popularRequestIsNotBlamedForUpstreamsThatAreLostTogether(int upstreams) {
+    CrashBlame blame = CrashBlame.create();
+    for (int i = 0; i < 600; i++) {
+      blame.recordServed(plain(7), 16L * i * MS);
+      blame.recordServed(plain(1_000 + i), 16L * i * MS);
+    }
+    for (int i = 0; i < upstreams; i++) {
+      crash(blame, 10_000 + i, plain(7), plain(2_000 + i));
+      assertTrue(blame.blameNext((10_000 + i) * MS).isEmpty());
+    }
+    assertTrue(blame.blameNext(11_500 * MS).isEmpty());
+    assertFalse(blame.blameOf(plain(7), 12_000 * MS).isPresent());
+  }
+
+  // Guards against a request that is taken for sound since it was served long ago.
+  @Test
+  public void requestThatWasServedAndCrashesUpstreamsLaterIsBlamed() {
+    CrashBlame blame = CrashBlame.create();
+    blame.recordServed(plain(7), 0);
+    for (int i = 0; i < 6; i++) {
+      crash(blame, 10_000 + 500 * i, plain(7), plain(2_000 + i));
+    }
+
+    assertEquals(blame.blameNext(12_600 * MS), List.of(request(7)));
+  }
+
   // Guards against reports that grow beyond a datagram when many upstreams are lost at once.
   @Test
   public void sumsOfCrashesAreBoundedAndKeepThoseWithMost() {
