--- a/library/src/main/java/org/dandelionbeam/routing/ListWatchStateMachine.java
+++ b/library/src/main/java/org/dandelionbeam/routing/ListWatchStateMachine.java
@@ -129,6 +129,15 @@
     return Duration.ofNanos((long) (backoff * (0.5 + random.getAsDouble() / 2)));
   }
 
+  /**
+   * Tells whether a page of the current listing was read.
+   *
+   * @return true until the last page was read or the listing starts anew
+   */
+  public boolean isWithinListing() {
+    return pageAfter.isPresent();
+  }
+
   /**
    * Tells whether the last call failed.
    *
