Take the latest time at which a suspect was served

Cause, by reading the diff: a request is kept in one record before it has crashed an upstream and in another one after; once its crashes are forgotten the older time came first.

Change: the later of the two counts.

Measured: the rows of CrashBlameTest on popular requests pass, as before.

--- a/library/src/main/java/org/dandelionbeam/routing/CrashEvidence.java
+++ b/library/src/main/java/org/dandelionbeam/routing/CrashEvidence.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * The crashes that schedulers have seen, by suspect, and what has been served. Not thread-safe.
@@ -93,8 +95,9 @@
 
   /** Returns when a request with the suspect was served last, as far as that is known. */
   private Optional<Long> servedNanos(Suspect suspect) {
-    Long at = servedNanos.get(suspect);
-    return Optional.ofNullable(at == null ? servedRequestNanos.get(suspect) : at);
+    return Stream.of(servedNanos, servedRequestNanos)
+        .flatMap(served -> Stream.ofNullable(served.get(suspect)))
+        .max(Comparator.naturalOrder());
   }
 
   /** Forgets the crashes that a suspect explains. */
