--- /dev/null
+++ b/review/standins-2/src/org/dandelionbeam/review/EngineStandIn.java
@@ -0,0 +1,131 @@
+package org.dandelionbeam.review;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** An engine that registers itself in the store and serves one request a connection at a time. */
+final class EngineStandIn implements AutoCloseable {
+  private static final int BACKLOG = 256;
+  private static final int SLOTS = 96;
+
+  private final String id;
+  private final String service;
+  private final String zone;
+  private final String version;
+  private final Recorder recorder;
+  private final Behaviour behaviour;
+  private final ServerSocket server;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final long bornMillis = System.currentTimeMillis();
+
+  /** How an engine responds to a request. */
+  interface Behaviour {
+    void respond(EngineStandIn engine, HttpReader.Head request, HttpReader in, OutputStream out)
+        throws IOException, InterruptedException;
+  }
+
+  EngineStandIn(
+      String id,
+      String service,
+      String zone,
+      String version,
+      String host,
+      Recorder recorder,
+      Behaviour behaviour)
+      throws IOException {
+    this.id = id;
+    this.service = service;
+    this.zone = zone;
+    this.version = version;
+    this.recorder = recorder;
+    this.behaviour = behaviour;
+    server = new ServerSocket(0, BACKLOG, InetAddress.getByName(host));
+    threads.execute(this::accept);
+  }
+
+  String id() {
+    return id;
+  }
+
+  String version() {
+    return version;
+  }
+
+  Recorder recorder() {
+    return recorder;
+  }
+
+  /** Writes the entry of this engine. */
+  void register(StoreStandIn store) {
+    store.put("servers/" + id, entry());
+    recorder.line("engine %s version %s registered at %s", id, version, address());
+  }
+
+  private String address() {
+    return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
+  }
+
+  private String entry() {
+    return String.format(
+        "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%d,"
+            + "\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":%d}",
+        service, address(), zone, version, SLOTS, bornMillis);
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        socket.setTcpNoDelay(true);
+        open.add(socket);
+        threads.execute(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      recorder.line("engine %s stopped listening", id);
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      HttpReader in = new HttpReader(new BufferedInputStream(socket.getInputStream()));
+      while (true) {
+        HttpReader.Head request = in.head();
+        if (!request.firstLine().contains(" /-/")) {
+          behaviour.respond(this, request, in, socket.getOutputStream());
+        } else {
+          write(socket.getOutputStream(), "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+        }
+      }
+    } catch (IOException e) {
+      recorder.line("engine %s connection ended: %s", id, e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      open.remove(socket);
+    }
+  }
+
+  static void write(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+    out.flush();
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket socket : open) {
+      socket.close();
+    }
+    threads.shutdownNow();
+  }
+}
