--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Kills a router while streams run, soon after a drill of the store; TROUBLE=0: without the drill.
+set -euo pipefail
+folder="$(cd "$(dirname "$0")" && pwd)"
+cd "$folder/../.."
+trouble=DRILL
+if [ "${TROUBLE:-1}" = 0 ]; then
+  trouble=NONE
+fi
+exec review/play-2.sh TakeUpCase "$trouble" "$folder/record.txt"
