--- a/review/standins-2/src/org/dandelionbeam/review/CallerStream.java
+++ b/review/standins-2/src/org/dandelionbeam/review/CallerStream.java
@@ -8,7 +8,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -27,8 +27,7 @@
   private final String id;
   private final Recorder recorder;
   private final long deadlineNanos;
-  private final int eventCount;
-  private final Set<String> versions = new TreeSet<>();
+  private final Set<String> versions = new ConcurrentSkipListSet<>();
   private int attempts;
   private volatile int lastEvent;
   private volatile boolean wentOn;
@@ -36,11 +35,10 @@
   private double retryAfterS;
   private String firstAttempt;
 
-  CallerStream(String id, int timeLimitMs, int eventCount, Recorder recorder) {
+  CallerStream(String id, Recorder recorder) {
     this.id = id;
     this.recorder = recorder;
-    this.eventCount = eventCount;
-    deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeLimitMs);
+    deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LlmService.TIME_LIMIT_MS);
   }
 
   /** Sends an attempt and reads its answer until it ends or breaks off. */
@@ -72,9 +70,11 @@
         + id
         + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: "
         + attemptId
-        + "\r\nModel: m\r\nToken-Counts: 600,250\r\nPrompt-Prefix: 5c1e07a2:400,"
+        + "\r\nModel: m\r\nToken-Counts: 2368,250\r\nPrompt-Prefix: 5c1e07a2:341,"
         + Integer.toHexString(id.hashCode())
-        + ":200\r\nDeadline-Ms: "
+        + ":227,"
+        + Integer.toHexString(attemptId.hashCode())
+        + ":1800\r\nDeadline-Ms: "
         + leftMs()
         + "\r\nAuthorization: Bearer key-1\r\nContent-Length: 2\r\n"
         + resumption
@@ -130,7 +130,7 @@
   }
 
   boolean isComplete() {
-    return status == OK && lastEvent == eventCount;
+    return status == OK && lastEvent == LlmService.EVENTS;
   }
 
   /** Tells whether a later attempt has brought events after those of the first one. */
@@ -142,7 +142,8 @@
     return lastEvent;
   }
 
-  Set<String> versions() {
-    return versions;
+  /** Tells whether the stream holds events of several software versions. */
+  boolean isMixed() {
+    return versions.size() > 1;
   }
 }
--- a/review/standins-2/src/org/dandelionbeam/review/EngineStandIn.java
+++ b/review/standins-2/src/org/dandelionbeam/review/EngineStandIn.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -20,13 +21,14 @@
   private final String id;
   private final String service;
   private final String zone;
-  private final String version;
+  private final InetAddress host;
   private final Recorder recorder;
   private final Behaviour behaviour;
-  private final ServerSocket server;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-  private final long bornMillis = System.currentTimeMillis();
+  private volatile String version;
+  private volatile ServerSocket server;
+  private volatile long bornMillis;
 
   /** How an engine responds to a request. */
   interface Behaviour {
@@ -46,11 +48,36 @@
     this.id = id;
     this.service = service;
     this.zone = zone;
-    this.version = version;
+    this.host = InetAddress.getByName(host);
     this.recorder = recorder;
     this.behaviour = behaviour;
-    server = new ServerSocket(0, BACKLOG, InetAddress.getByName(host));
-    threads.execute(this::accept);
+    start(version, 0);
+  }
+
+  private void start(String newVersion, int port) throws IOException {
+    version = newVersion;
+    bornMillis = System.currentTimeMillis();
+    server = new ServerSocket();
+    server.setReuseAddress(true);
+    server.bind(new InetSocketAddress(host, port), BACKLOG);
+    ServerSocket listener = server;
+    threads.execute(() -> accept(listener));
+  }
+
+  /** Ends as in a crash: resets all connections and accepts no more. */
+  void crash() throws IOException {
+    server.close();
+    for (Socket socket : open) {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+    recorder.line("engine %s crashed", id);
+  }
+
+  /** Starts again at the same address under the same id. */
+  void restart(String newVersion) throws IOException {
+    start(newVersion, server.getLocalPort());
+    recorder.line("engine %s runs again, with version %s", id, newVersion);
   }
 
   String id() {
@@ -82,10 +109,10 @@
         service, address(), zone, version, SLOTS, bornMillis);
   }
 
-  private void accept() {
+  private void accept(ServerSocket listener) {
     try {
       while (true) {
-        Socket socket = server.accept();
+        Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
         open.add(socket);
         threads.execute(() -> serve(socket));
--- a/review/standins-2/src/org/dandelionbeam/review/StoreStandIn.java
+++ b/review/standins-2/src/org/dandelionbeam/review/StoreStandIn.java
@@ -94,6 +94,11 @@
     notifyAll();
   }
 
+  /** Serves calls again. */
+  synchronized void comeBack() {
+    away = false;
+  }
+
   /** Comes back from a copy: what was written since is gone, and revisions go back. */
   synchronized void restore(Copy copy) {
     items = new TreeMap<>(copy.items());
--- a/review/standins-2/src/org/dandelionbeam/review/TakeUpCase.java
+++ b/review/standins-2/src/org/dandelionbeam/review/TakeUpCase.java
@@ -1,7 +1,6 @@
 package org.dandelionbeam.review;
 
 import java.io.IOException;
-import java.io.OutputStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,9 +15,7 @@
 public final class TakeUpCase {
   private static final int STREAMS = 24;
   private static final int MIN_TAKEN_UP = 12;
-  private static final int EVENTS = 56;
-  private static final int EVENT_INTERVAL_MS = 200;
-  private static final int TIME_LIMIT_MS = 15_000;
+  private static final int MAX_MIXED = 2;
   private static final int MAX_ATTEMPTS = 4;
   private static final int RETRY_PAUSE_MS = 100;
 
@@ -33,14 +30,11 @@
 
   private static final int COPY_AGE_MS = 2_000;
   private static final int AWAY_MS = 500;
-  private static final String SERVICE = "s";
-  private static final String ENGINE_NETWORK = "127.0.53.";
-  private static final int FIRST_ENGINE_HOST = 31;
 
   private final Recorder recorder;
   private final Fleet fleet;
+  private final LlmService service;
   private final Trouble trouble;
-  private final List<EngineStandIn> engines = new ArrayList<>();
   private final ExecutorService callers = Executors.newCachedThreadPool();
 
   /** What happens while the streams run, before the kill. */
@@ -53,7 +47,7 @@
     RELEASE {
       @Override
       void happen(TakeUpCase run) throws IOException {
-        run.startEngines(2, "v2");
+        run.service.startEngines(2, "v2");
       }
     },
     /** The store comes back from a copy; operator and engines write their entries again. */
@@ -67,17 +61,18 @@
         TimeUnit.MILLISECONDS.sleep(AWAY_MS);
         store.restore(copy);
         run.recorder.line("the store came back from a copy %d ms old", COPY_AGE_MS + AWAY_MS);
-        run.writeConfiguration();
-        run.engines.forEach(engine -> engine.register(store));
+        run.service.writeConfiguration();
+        run.service.engines().forEach(engine -> engine.register(store));
       }
     };
 
     abstract void happen(TakeUpCase run) throws IOException, InterruptedException;
   }
 
-  private TakeUpCase(Recorder recorder, Fleet fleet, Trouble trouble) {
+  private TakeUpCase(Recorder recorder, Fleet fleet, LlmService service, Trouble trouble) {
     this.recorder = recorder;
     this.fleet = fleet;
+    this.service = service;
     this.trouble = trouble;
   }
 
@@ -90,25 +85,19 @@
     Trouble trouble = Trouble.valueOf(args[0]);
     System.exit(
         Fleet.play(
-            Path.of(args[1]), (recorder, fleet) -> new TakeUpCase(recorder, fleet, trouble).run()));
+            Path.of(args[1]),
+            (recorder, fleet) -> {
+              try (LlmService service = new LlmService(recorder, fleet.store())) {
+                return new TakeUpCase(recorder, fleet, service, trouble).run();
+              }
+            }));
   }
 
   private int run() throws IOException, InterruptedException {
-    try {
-      writeConfiguration();
-      startEngines(4, "v1");
-      fleet.start();
-      TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
-      return play();
-    } finally {
-      callers.shutdownNow();
-      for (EngineStandIn engine : engines) {
-        engine.close();
-      }
-    }
-  }
-
-  private int play() throws IOException, InterruptedException {
+    service.writeConfiguration();
+    service.startEngines(4, "v1");
+    fleet.start();
+    TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
     List<CallerStream> streams = begin("old", 0);
     TimeUnit.MILLISECONDS.sleep(BEGIN_MS);
     trouble.happen(this);
@@ -119,79 +108,18 @@
     recorder.line("router %s killed", fleet.router(0).name());
     List<CallerStream> later = begin("new", 1);
     callers.shutdown();
-    if (!callers.awaitTermination(TIME_LIMIT_MS, TimeUnit.MILLISECONDS)) {
+    if (!callers.awaitTermination(LlmService.TIME_LIMIT_MS, TimeUnit.MILLISECONDS)) {
       recorder.line("some callers still wait");
     }
+    callers.shutdownNow();
     return judge(streams, later, running);
   }
 
-  private void writeConfiguration() {
-    fleet
-        .store()
-        .put(
-            "op/config",
-            "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\","
-                + "\"prefix\":\"/s/\",\"routeType\":\"streaming\",\"resumable\":true,"
-                + "\"timeoutMs\":15000,\"targetLatencyMs\":600,\"priority\":1,\"backend\":\"s\","
-                + "\"maxAttempts\":2,\"anonymous\":false,\"sticky\":true,\"gapTargetMs\":300}],"
-                + "\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\","
-                + "\"maxConnections\":490,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":3.0,"
-                + "\"coldPerS\":11.0,\"engine\":{\"slots\":96,\"kvTokens\":178306}}],"
-                + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
-                + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000,\"tokensPerS\":273000},"
-                + "\"tenants\":[{\"name\":\"t-1\",\"apiKeys\":[\"key-1\"],\"priority\":1}]}");
-  }
-
-  private void startEngines(int count, String version) throws IOException {
-    for (int i = 0; i < count; i++) {
-      int number = engines.size();
-      EngineStandIn engine =
-          new EngineStandIn(
-              "i-" + version + "-" + number,
-              SERVICE,
-              "abc".substring(number % 3, number % 3 + 1),
-              version,
-              ENGINE_NETWORK + (FIRST_ENGINE_HOST + number),
-              recorder,
-              TakeUpCase::stream);
-      engines.add(engine);
-      engine.register(fleet.store());
-    }
-  }
-
-  /** Streams the events after the one that the request names. */
-  private static void stream(
-      EngineStandIn engine, HttpReader.Head request, HttpReader in, OutputStream out)
-      throws IOException, InterruptedException {
-    in.body(request, part -> {});
-    String attempt = request.header("attempt-id");
-    if (!request.header("expect-instance").equals(engine.id())) {
-      EngineStandIn.write(out, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
-      return;
-    }
-    String last = request.header("last-event-id");
-    int next = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
-    engine.recorder().line("engine %s runs %s from event %d", engine.id(), attempt, next);
-    EngineStandIn.write(
-        out,
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nEngine-Seal: "
-            + engine.id()
-            + "\r\nAttempt-Id: "
-            + attempt
-            + "\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
-    for (int id = next; id <= EVENTS; id++) {
-      TimeUnit.MILLISECONDS.sleep(EVENT_INTERVAL_MS);
-      String event = "id: " + id + "\ndata: " + engine.version() + "\n\n";
-      EngineStandIn.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-    }
-    EngineStandIn.write(out, "0\r\n\r\n");
-  }
-
   /** Starts callers, whose first attempts go to one router and the next ones to others. */
   private List<CallerStream> begin(String name, int firstRouter) {
     List<CallerStream> streams = new ArrayList<>();
     for (int i = 0; i < STREAMS; i++) {
-      CallerStream stream = new CallerStream(name + i, TIME_LIMIT_MS, EVENTS, recorder);
+      CallerStream stream = new CallerStream(name + i, recorder);
       streams.add(stream);
       int first = firstRouter == 0 ? 0 : 1 + i % 2;
       int others = i;
@@ -215,7 +143,7 @@
   private int judge(List<CallerStream> streams, List<CallerStream> later, int takenUp) {
     long wentOn = streams.stream().filter(CallerStream::wentOn).count();
     long begun = later.stream().filter(stream -> stream.lastEvent() > 0).count();
-    long mixed = streams.stream().filter(stream -> stream.versions().size() > 1).count();
+    long mixed = streams.stream().filter(CallerStream::isMixed).count();
     recorder.line(
         "taken up %d, went on %d; new %d, begun %d; mixed %d",
         takenUp, wentOn, later.size(), begun, mixed);
@@ -224,7 +152,7 @@
     }
     double shareGoingOn = (double) wentOn / takenUp;
     double shareBegun = (double) begun / later.size();
-    boolean broken = 2 * shareGoingOn < shareBegun || mixed > 2;
+    boolean broken = 2 * shareGoingOn < shareBegun || mixed > MAX_MIXED;
     recorder.line(broken ? "the rule is broken" : "the rule held");
     return broken ? Fleet.BROKEN : Fleet.HELD;
   }
