--- a/review/standins-2/src/org/dandelionbeam/review/EngineStandIn.java
+++ b/review/standins-2/src/org/dandelionbeam/review/EngineStandIn.java
@@ -127,10 +127,11 @@
       HttpReader in = new HttpReader(new BufferedInputStream(socket.getInputStream()));
       while (true) {
         HttpReader.Head request = in.head();
-        if (!request.firstLine().contains(" /-/")) {
-          behaviour.respond(this, request, in, socket.getOutputStream());
+        String path = request.firstLine().split(" ")[1];
+        if (path.equals("/health") || path.startsWith("/-/")) {
+          write(socket.getOutputStream(), page(path));
         } else {
-          write(socket.getOutputStream(), "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+          behaviour.respond(this, request, in, socket.getOutputStream());
         }
       }
     } catch (IOException e) {
@@ -142,6 +143,33 @@
     }
   }
 
+  /** Returns the response to a call that is no request of a caller. */
+  private String page(String path) {
+    String body =
+        switch (path) {
+          case "/health" -> "{}";
+          case "/-/report" -> report();
+          case "/-/kv-list" -> "{\"epoch\":" + bornMillis + ",\"next\":0,\"held\":[]}";
+          default -> "";
+        };
+    return (body.isEmpty() ? "HTTP/1.1 404 Not Found" : "HTTP/1.1 200 OK")
+        + "\r\nInstance: "
+        + id
+        + "\r\nContent-Type: application/json\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  private String report() {
+    return "{\"stage\":\"mixed\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
+        + "\"busy\":false,\"sequence\":0,\"queued\":0,\"running\":"
+        + open.size()
+        + ",\"kvUsed\":0,\"kvTotal\":178306,\"handles\":0,\"born\":"
+        + bornMillis
+        + "}";
+  }
+
   static void write(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(StandardCharsets.ISO_8859_1));
     out.flush();
