--- a/review/standins-2/src/org/dandelionbeam/review/RestartCase.java
+++ b/review/standins-2/src/org/dandelionbeam/review/RestartCase.java
@@ -13,6 +13,9 @@
  * version, while the store is down. Streams that ran on them are resumed by the routers.
  */
 public final class RestartCase {
+  /** Like that of {@code rules-query}. */
+  private static final CallerStream.Prompt PROMPT = new CallerStream.Prompt(341, 227, 1_800);
+
   private static final int ENGINES = 8;
   private static final int CRASHED_TOGETHER = 2;
   private static final int STREAMS = 96;
@@ -113,7 +116,7 @@
   private List<CallerStream> begin() throws InterruptedException {
     List<CallerStream> streams = new ArrayList<>();
     for (int i = 0; i < STREAMS; i++) {
-      CallerStream stream = new CallerStream("s" + i, recorder);
+      CallerStream stream = new CallerStream("s" + i, PROMPT, recorder);
       streams.add(stream);
       int router = i % fleet.routers().size();
       callers.execute(() -> follow(stream, fleet.router(router)));
--- a/review/standins-2/src/org/dandelionbeam/review/StoreStandIn.java
+++ b/review/standins-2/src/org/dandelionbeam/review/StoreStandIn.java
@@ -15,7 +15,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -35,7 +37,8 @@
 
   private final ObjectMapper json = new ObjectMapper();
   private final ExecutorService threads = Executors.newCachedThreadPool();
-  private final HttpServer server;
+  private final List<HttpServer> servers = new ArrayList<>();
+  private final Set<String> turnedAway = ConcurrentHashMap.newKeySet();
   private TreeMap<String, Item> items = new TreeMap<>();
   private List<Event> history = new ArrayList<>();
   private Map<Long, Lease> leases = new HashMap<>();
@@ -57,14 +60,29 @@
   record Copy(
       TreeMap<String, Item> items, Map<Long, Lease> leases, long revision, long lastLease) {}
 
-  StoreStandIn(String host, int port) throws IOException {
-    server = HttpServer.create(new InetSocketAddress(host, port), 0);
-    server.setExecutor(threads);
-    server.createContext("/", this::handle);
-    server.start();
+  /** Starts the store at several addresses, one for each machine. */
+  StoreStandIn(List<String> hosts, int port) throws IOException {
+    for (String host : hosts) {
+      HttpServer server = HttpServer.create(new InetSocketAddress(host, port), 0);
+      server.setExecutor(threads);
+      server.createContext("/", exchange -> handle(host, exchange));
+      server.start();
+      servers.add(server);
+    }
     threads.execute(this::endLeases);
   }
 
+  /** Turns away the machine that has one of the addresses. */
+  synchronized void turnAway(String host) {
+    turnedAway.add(host);
+    notifyAll();
+  }
+
+  /** Serves the machine again. */
+  void readmit(String host) {
+    turnedAway.remove(host);
+  }
+
   /** Writes an item, as operators and engines do. */
   synchronized void put(String key, String value) {
     String text = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
@@ -151,11 +169,11 @@
         .forEach(this::delete);
   }
 
-  private void handle(HttpExchange exchange) throws IOException {
+  private void handle(String host, HttpExchange exchange) throws IOException {
     byte[] request = exchange.getRequestBody().readAllBytes();
     Response response;
     try {
-      response = respond(exchange, request);
+      response = respond(host, exchange, request);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       response = empty(UNAVAILABLE);
@@ -172,9 +190,9 @@
     return era;
   }
 
-  private synchronized Response respond(HttpExchange exchange, byte[] body)
+  private synchronized Response respond(String host, HttpExchange exchange, byte[] body)
       throws IOException, InterruptedException {
-    if (away) {
+    if (isAway(host)) {
       return empty(UNAVAILABLE);
     }
     String path = exchange.getRequestURI().getPath();
@@ -182,7 +200,7 @@
     if (path.equals("/-/kv-range")) {
       return range(query.get("prefix"));
     } else if (path.equals("/-/kv-watch")) {
-      return watch(query);
+      return watch(host, query);
     } else if (path.equals("/-/kv-txn")) {
       return transaction(json.readTree(body));
     } else if (path.equals(LEASE_PATH)) {
@@ -198,6 +216,10 @@
     return empty(NOT_FOUND);
   }
 
+  private boolean isAway(String host) {
+    return away || turnedAway.contains(host);
+  }
+
   private static Map<String, String> query(String text) {
     Map<String, String> query = new HashMap<>();
     for (String field : text == null ? new String[0] : text.split("&")) {
@@ -237,13 +259,13 @@
         .put("lease", item.lease());
   }
 
-  private Response watch(Map<String, String> query) throws InterruptedException {
+  private Response watch(String host, Map<String, String> query) throws InterruptedException {
     long after = Long.parseLong(query.get("after"));
     long waitMs = Math.min(MAX_WAIT_MS, Long.parseLong(query.get("waitMs")));
     long endNanos = System.nanoTime() + waitMs * NANOS_PER_MS;
     long startEra = era;
     while (true) {
-      if (away) {
+      if (isAway(host)) {
         return empty(UNAVAILABLE);
       }
       if (era != startEra || after > revision || after < oldestRevision) {
@@ -304,7 +326,7 @@
 
   @Override
   public void close() {
-    server.stop(0);
+    servers.forEach(server -> server.stop(0));
     threads.shutdownNow();
   }
 }
