--- a/review/play-2.sh
+++ b/review/play-2.sh
@@ -4,7 +4,8 @@
 cd "$(dirname "$0")/.."
 class="$1"
 shift
-if [ ! -d review/standins-2/target/classes ] || [ ! -f platform/target/dandelionbeam-router.jar ]; then
+built="review/standins-2/target/classes/org/dandelionbeam/review/$class.class"
+if [ ! -f "$built" ] || [ ! -f platform/target/dandelionbeam-router.jar ]; then
   echo "run the build of deploy/system.toml and review/build-2.sh first" >&2
   exit 2
 fi
--- a/review/standins-2/src/org/dandelionbeam/review/Fleet.java
+++ b/review/standins-2/src/org/dandelionbeam/review/Fleet.java
@@ -46,7 +46,7 @@
       try (Fleet fleet = new Fleet(folder)) {
         Runtime.getRuntime().addShutdownHook(new Thread(fleet::endProcesses));
         return play.run(recorder, fleet);
-      } catch (IOException | InterruptedException | RuntimeException e) {
+      } catch (IOException | InterruptedException | RuntimeException | LinkageError e) {
         recorder.line("the case could not run: %s", e);
         return NOT_RUN;
       } finally {
