--- a/review/standins-2/src/org/dandelionbeam/review/RecoverCase.java
+++ b/review/standins-2/src/org/dandelionbeam/review/RecoverCase.java
@@ -8,7 +8,7 @@
 public final class RecoverCase {
   private static final int ENGINES = 12;
   private static final int CRASHED = 3;
-  private static final int ENGINE_DOWN_MS = 2_000;
+  private static final int ENGINE_DOWN_MS = 1_900;
   private static final int SOUND_INTERVAL_MS = 25;
   private static final int CRASH_DELAY_MS = 1_000;
   private static final int SETTLE_MS = 5_000;
--- a/review/standins-2/src/org/dandelionbeam/review/RestartCase.java
+++ b/review/standins-2/src/org/dandelionbeam/review/RestartCase.java
@@ -29,10 +29,10 @@
   /** Times from the moment at which the store goes down. */
   private static final int FIRST_CRASH_MS = 300;
 
-  private static final int SECOND_CRASH_MS = 6_000;
-  private static final int STORE_UP_MS = 8_000;
+  private static final int SECOND_CRASH_MS = 5_600;
+  private static final int STORE_UP_MS = 7_700;
 
-  private static final int ENGINE_DOWN_MS = 2_000;
+  private static final int ENGINE_DOWN_MS = 1_900;
 
   private final Recorder recorder;
   private final Fleet fleet;
