--- a/review/standins-2/src/org/dandelionbeam/review/EngineStandIn.java
+++ b/review/standins-2/src/org/dandelionbeam/review/EngineStandIn.java
@@ -29,6 +29,7 @@
   private volatile String version;
   private volatile ServerSocket server;
   private volatile long bornMillis;
+  private volatile long coldUntilMillis;
 
   /** How an engine responds to a request. */
   interface Behaviour {
@@ -80,6 +81,10 @@
     recorder.line("engine %s runs again, with version %s", id, newVersion);
   }
 
+  boolean isRunning() {
+    return !server.isClosed();
+  }
+
   String id() {
     return id;
   }
@@ -98,6 +103,17 @@
     recorder.line("engine %s version %s registered at %s", id, version, address());
   }
 
+  /** Becomes cold again for some time, and says so in its entry and its health responses. */
+  void becomeCold(StoreStandIn store, int coldMs) {
+    coldUntilMillis = System.currentTimeMillis() + coldMs;
+    store.put("servers/" + id, entry());
+    recorder.line("engine %s is cold for %d ms", id, coldMs);
+  }
+
+  private long coldRemainingMillis() {
+    return Math.max(0, coldUntilMillis - System.currentTimeMillis());
+  }
+
   private String address() {
     return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
   }
@@ -105,8 +121,8 @@
   private String entry() {
     return String.format(
         "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%d,"
-            + "\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":%d}",
-        service, address(), zone, version, SLOTS, bornMillis);
+            + "\"state\":\"ready\",\"coldRemainingMs\":%d,\"sequence\":1,\"born\":%d}",
+        service, address(), zone, version, SLOTS, coldRemainingMillis(), bornMillis);
   }
 
   private void accept(ServerSocket listener) {
@@ -155,12 +171,18 @@
     return (body.isEmpty() ? "HTTP/1.1 404 Not Found" : "HTTP/1.1 200 OK")
         + "\r\nInstance: "
         + id
+        + (path.equals("/health") ? coldHeader() : "")
         + "\r\nContent-Type: application/json\r\nContent-Length: "
         + body.length()
         + "\r\n\r\n"
         + body;
   }
 
+  private String coldHeader() {
+    long cold = coldRemainingMillis();
+    return cold > 0 ? "\r\nCold-Ms: " + cold : "";
+  }
+
   private String report() {
     return "{\"stage\":\"mixed\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
         + "\"busy\":false,\"sequence\":0,\"queued\":0,\"running\":"
