--- a/review/standins-2/src/org/dandelionbeam/review/ColdCase.java
+++ b/review/standins-2/src/org/dandelionbeam/review/ColdCase.java
@@ -73,6 +73,7 @@
   private final Fleet fleet;
   private final boolean turnAway;
   private volatile long coldNanos = Long.MAX_VALUE;
+  private volatile boolean ended;
   private final List<EngineStandIn> engines = new ArrayList<>();
   private final Map<String, Queue<Long>> arrivals = new ConcurrentHashMap<>();
   private final Map<String, AtomicInteger> answers = new ConcurrentSkipListMap<>();
@@ -170,6 +171,7 @@
       EngineStandIn engine, HttpReader.Head request, HttpReader in, OutputStream out)
       throws IOException, InterruptedException {
     in.body(request, part -> {});
+    recorder.line("%s reached engine %s", request.header("attempt-id"), engine.id());
     arrivals
         .computeIfAbsent(engine.id(), id -> new ConcurrentLinkedQueue<>())
         .add(System.nanoTime());
@@ -225,8 +227,12 @@
       in.body(head, part -> {});
       answer = String.valueOf(head.status());
     } catch (IOException e) {
-      recorder.line("r%d at %s: %s", id, router.name(), e.getMessage());
+      answer += ", " + e.getMessage();
     }
+    if (ended) {
+      return;
+    }
+    recorder.line("r%d at %s: %s", id, router.name(), answer);
     answers.computeIfAbsent(answer, key -> new AtomicInteger()).incrementAndGet();
   }
 
@@ -247,6 +253,7 @@
   }
 
   private int judge() {
+    ended = true;
     recorder.line("answers: %s; cold engines that crashed: %d", answers, crashes.get());
     int most = 0;
     for (int i : COLD_ENGINES) {
